--- /dev/null
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/CallerClient.kt
@@ -0,0 +1,143 @@
+package org.bronzetide.cli
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.header
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import io.ktor.utils.io.readLine
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.bronzetide.model.Jsons
+
+/** What a caller saw of its request. */
+data class CallerAnswer(
+    val status: Int,
+    val requestId: String,
+    val verdict: String,
+    val reason: String,
+    val text: String,
+    /** Whether the answer came with its end mark and no error event. */
+    val isWhole: Boolean,
+    val firstByteMs: Double,
+    val totalMs: Double,
+    val isReplayed: Boolean
+)
+
+/** Sends requests as a caller's client library would. */
+class CallerClient(private val http: HttpClient, private val timeoutMs: Long = DEFAULT_TIMEOUT_MS) {
+    /** Asks [model] at [baseUrl] for a completion of [prompt]. */
+    suspend fun complete(
+        baseUrl: String,
+        key: String,
+        model: String,
+        prompt: String,
+        options: Options = Options()
+    ): CallerAnswer {
+        val content = Jsons.wire.encodeToString(kotlinx.serialization.serializer<String>(), prompt)
+        val body =
+            """{"model":"$model","max_tokens":${options.maxTokens},""" +
+                """"stream":${options.isStreamed},""" +
+                """"messages":[{"role":"user","content":$content}]}"""
+        return send("$baseUrl/v1/chat/completions", key, body, options)
+    }
+
+    /** Posts [body] to the service call at [url]. */
+    suspend fun command(
+        url: String,
+        key: String,
+        body: String,
+        options: Options = Options()
+    ): CallerAnswer = send(url, key, body, options)
+
+    private suspend fun send(
+        url: String,
+        key: String,
+        body: String,
+        options: Options
+    ): CallerAnswer {
+        val startedNanos = System.nanoTime()
+        val statement = http.preparePost(url) {
+            bearerAuth(key)
+            contentType(ContentType.Application.Json)
+            options.tier?.let { header("X-Tier", it) }
+            options.deadlineMs?.let { header("X-Deadline-Ms", it) }
+            options.idempotencyKey?.let { header("Idempotency-Key", it) }
+            timeout { requestTimeoutMillis = timeoutMs }
+            setBody(body)
+        }
+        return statement.execute { read(it, startedNanos) }
+    }
+
+    private suspend fun read(response: HttpResponse, startedNanos: Long): CallerAnswer {
+        val channel = response.bodyAsChannel()
+        val isStream = response.headers["Content-Type"].orEmpty().startsWith("text/event-stream")
+        val text = StringBuilder()
+        var firstNanos = 0L
+        var isEnded = !isStream
+        var error: String? = null
+        while (true) {
+            val line = channel.readLine() ?: break
+            if (firstNanos == 0L) firstNanos = System.nanoTime()
+            when {
+                !isStream -> text.append(line)
+                line == "data: [DONE]" -> isEnded = true
+                line.startsWith("data: {\"error\"") -> error = line.removePrefix("data: ")
+                line.startsWith("data: ") -> text.append(delta(line.removePrefix("data: ")))
+            }
+        }
+        val body = if (isStream ||
+            response.status.value != 200
+        ) {
+            text.toString()
+        } else {
+            contentOf(text.toString())
+        }
+        return CallerAnswer(
+            status = response.status.value,
+            requestId = response.headers["X-Request-Id"].orEmpty(),
+            verdict = error?.let { verdictIn(it) } ?: response.headers["X-Verdict"].orEmpty(),
+            reason = response.headers["X-Verdict-Reason"].orEmpty(),
+            text = body,
+            isWhole = isEnded && error == null && response.status.value == 200,
+            firstByteMs =
+            ((if (firstNanos == 0L) System.nanoTime() else firstNanos) - startedNanos) / 1e6,
+            totalMs = (System.nanoTime() - startedNanos) / 1e6,
+            isReplayed = response.headers["X-Replayed"] == "true"
+        )
+    }
+
+    private fun delta(data: String): String = runCatching {
+        val choice = Jsons.wire.parseToJsonElement(data).jsonObject.getValue("choices").jsonArray[0]
+        choice.jsonObject.getValue("delta").jsonObject["content"]?.jsonPrimitive?.content.orEmpty()
+    }.getOrDefault("")
+
+    private fun contentOf(body: String): String = runCatching {
+        val choice = Jsons.wire.parseToJsonElement(body).jsonObject.getValue("choices").jsonArray[0]
+        choice.jsonObject.getValue("message").jsonObject.getValue("content").jsonPrimitive.content
+    }.getOrDefault(body)
+
+    private fun verdictIn(error: String): String? = runCatching {
+        Jsons.wire.parseToJsonElement(error).jsonObject.getValue("error").jsonObject
+            .getValue("verdict").jsonPrimitive.content
+    }.getOrNull()
+
+    /** What a request asks for beside its prompt. */
+    data class Options(
+        val isStreamed: Boolean = true,
+        val maxTokens: Int = 256,
+        val tier: Int? = null,
+        val deadlineMs: Long? = null,
+        val idempotencyKey: String? = null
+    )
+
+    private companion object {
+        const val DEFAULT_TIMEOUT_MS = 120_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/OperatorClient.kt
@@ -0,0 +1,86 @@
+package org.bronzetide.cli
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import kotlinx.serialization.KSerializer
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.Fault
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.Plan
+import org.bronzetide.node.ledger.Invoice
+import org.bronzetide.node.operator.ClusterStatus
+import org.bronzetide.node.operator.ConfirmAnswer
+import org.bronzetide.node.operator.PlanAnswer
+
+/** Speaks the operators' interface of a node at [baseUrl] with the bearer [key]. */
+class OperatorClient(
+    private val http: HttpClient,
+    private val baseUrl: String,
+    private val key: String
+) {
+    /** Asks for the plan of the intent in [text]. */
+    suspend fun plan(text: String): PlanAnswer = post("plan", text, PlanAnswer.serializer())
+
+    /** Confirms [plan]. */
+    suspend fun confirm(plan: Plan): ConfirmAnswer {
+        val text = Jsons.wire.encodeToString(Plan.serializer(), plan)
+        return post("confirm", text, ConfirmAnswer.serializer())
+    }
+
+    /** The configuration in force. */
+    suspend fun configuration(): Configuration = get("configuration", Configuration.serializer())
+
+    /** The status of all nodes. */
+    suspend fun status(): ClusterStatus = get("status", ClusterStatus.serializer())
+
+    /** The invoice of [caller]. */
+    suspend fun invoice(caller: String): Invoice = get("invoices/$caller", Invoice.serializer())
+
+    private suspend fun <T> get(path: String, serializer: KSerializer<T>): T =
+        read(http.get("$baseUrl/operator/v1/$path") { prepare() }, serializer)
+
+    private suspend fun <T> post(path: String, text: String, serializer: KSerializer<T>): T = read(
+        http.post("$baseUrl/operator/v1/$path") {
+            prepare()
+            setBody(text)
+        },
+        serializer
+    )
+
+    private fun io.ktor.client.request.HttpRequestBuilder.prepare() {
+        bearerAuth(key)
+        timeout { requestTimeoutMillis = TIMEOUT_MS }
+    }
+
+    private suspend fun <T> read(response: HttpResponse, serializer: KSerializer<T>): T {
+        val text = response.bodyAsText()
+        if (response.status.value in REFUSED) throw OperatorRefusal(faultsIn(text))
+        return try {
+            Jsons.wire.decodeFromString(serializer, text)
+        } catch (_: kotlinx.serialization.SerializationException) {
+            throw OperatorRefusal(faultsIn(text).ifEmpty { listOf(unexpected(response)) })
+        }
+    }
+
+    private fun unexpected(response: HttpResponse) =
+        Fault(baseUrl, "answered ${response.status.value} with something else than was asked for")
+
+    private fun faultsIn(text: String): List<Fault> =
+        runCatching { Jsons.wire.decodeFromString(PlanAnswer.serializer(), text).faults }
+            .getOrDefault(emptyList())
+
+    private companion object {
+        const val TIMEOUT_MS = 30_000L
+        val REFUSED = setOf(400, 401, 403)
+    }
+}
+
+/** The node refused the operator's call for [faults]. */
+class OperatorRefusal(val faults: List<Fault>) :
+    Exception(faults.joinToString("\n") { "${it.place}: ${it.message}" }.ifEmpty { "refused" })
--- /dev/null
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/PlanCommands.kt
@@ -0,0 +1,133 @@
+package org.bronzetide.cli
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.file
+import java.io.File
+import kotlinx.serialization.SerializationException
+import org.bronzetide.model.ConfigObject
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.Fault
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.Plan
+import org.bronzetide.node.operator.ConfirmAnswer
+import org.bronzetide.node.operator.PlanAnswer
+
+/** `bronzetide plan`: shows what an intent would change. */
+class PlanCommand : OperatorCommand("plan") {
+    private val intent by argument(
+        "INTENT",
+        help = "the intent, JSON with comments"
+    ).file(mustExist = true)
+    private val output by option("--out", help = "where to keep the plan for confirm").file()
+
+    override fun help(context: Context): String =
+        "Shows what an intent would change, and keeps the plan for confirm. Nothing takes effect."
+
+    override suspend fun execute(client: OperatorClient) {
+        val answer = client.plan(intent.readText())
+        if (isJson) echoJson(PlanAnswer.serializer(), answer)
+        val plan = answer.plan ?: return refuse(answer.faults)
+        val file = output ?: File(intent.path.removeSuffix(".json") + ".plan.json")
+        file.writeText(Jsons.settings.encodeToString(Plan.serializer(), plan))
+        if (isJson) return
+        if (plan.changes.isEmpty()) echo("nothing to change at version ${plan.baseVersion}")
+        plan.changes.forEach { change ->
+            echo("${change.action} ${change.name}")
+            change.before?.let { echo("  - ${text(it)}") }
+            change.after?.let { echo("  + ${text(it)}") }
+        }
+        plan.effects.forEach { echo("effect: $it") }
+        echo("to confirm: bronzetide confirm $file")
+    }
+
+    private fun text(value: ConfigObject) =
+        Jsons.wire.encodeToString(ConfigObject.serializer(), value)
+
+    private fun refuse(faults: List<Fault>) {
+        if (!isJson) faults.forEach { echo("${it.place}: ${it.message}", err = true) }
+        throw ProgramResult(ExitCodes.INVALID)
+    }
+}
+
+/** `bronzetide confirm`: makes a plan take effect. */
+class ConfirmCommand : OperatorCommand("confirm") {
+    private val file by argument(
+        "PLAN",
+        help = "the plan that `bronzetide plan` kept"
+    ).file(mustExist = true)
+
+    override fun help(context: Context): String =
+        "Makes a plan take effect. Confirming the same plan again is safe: it says that it is done."
+
+    override suspend fun execute(client: OperatorClient) {
+        val answer = client.confirm(readPlan())
+        if (isJson) echoJson(ConfirmAnswer.serializer(), answer) else show(answer)
+        when (answer.result) {
+            "confirmed", "already-done" -> Unit
+            "conflict" -> throw ProgramResult(ExitCodes.CONFLICT)
+            "invalid" -> throw ProgramResult(ExitCodes.INVALID)
+            "unknown" -> throw ProgramResult(ExitCodes.UNKNOWN)
+            else -> throw ProgramResult(ExitCodes.UNAVAILABLE)
+        }
+    }
+
+    private fun readPlan(): Plan = try {
+        Jsons.settings.decodeFromString(Plan.serializer(), file.readText())
+    } catch (cause: SerializationException) {
+        throw OperatorRefusal(
+            listOf(Fault(file.path, cause.message.orEmpty().lineSequence().first()))
+        )
+    }
+
+    private fun show(answer: ConfirmAnswer) {
+        when (answer.result) {
+            "confirmed" -> echo("confirmed as version ${answer.version}")
+            "already-done" -> echo("was confirmed before, as version ${answer.version}")
+            "conflict" -> echo(
+                "refused: changed by somebody else since the plan was made",
+                err = true
+            )
+            "invalid" -> echo("refused: invalid together with later changes", err = true)
+            "unknown" -> echo("not known: the store's answer was lost; confirm again", err = true)
+            else -> echo("the platform's store does not answer; nothing was changed", err = true)
+        }
+        answer.differences.forEach { change ->
+            echo("${change.name}\n  planned on ${change.before}\n  now ${change.after}", err = true)
+        }
+        answer.faults.forEach { echo("${it.place}: ${it.message}", err = true) }
+    }
+}
+
+/** `bronzetide get`: shows the configuration in force. */
+class GetCommand : OperatorCommand("get") {
+    private val name by argument(
+        "NAME",
+        help = "an object such as caller/line-3, or a kind"
+    ).optional()
+
+    override fun help(context: Context): String =
+        "Shows the configuration in force, or a part of it."
+
+    override suspend fun execute(client: OperatorClient) {
+        val all = client.configuration()
+        val wanted = name
+        val found = all.objects.filterKeys {
+            wanted == null ||
+                it == wanted ||
+                it.startsWith("$wanted/")
+        }
+        if (wanted != null && found.isEmpty()) {
+            echo("there is no $wanted", err = true)
+            throw ProgramResult(ExitCodes.INVALID)
+        }
+        if (isJson) return echoJson(Configuration.serializer(), all.copy(objects = found))
+        echo("version ${all.version}")
+        found.toSortedMap().forEach { (key, value) ->
+            echo("$key ${Jsons.wire.encodeToString(ConfigObject.serializer(), value)}")
+        }
+    }
+}
--- /dev/null
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyAuthority.kt
@@ -0,0 +1,235 @@
+package org.bronzetide.coordination
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Grants each idempotency key at most once, as the owner of some slots and the successor of others.
+ *
+ * A claim takes effect only after the slot's successor acknowledged it under the same epoch. A
+ * successor that has taken over refuses such acknowledgements, so an owner that was paused past its
+ * replacement can grant nothing, whatever its clock says. Every granted key is known to whoever
+ * takes over.
+ *
+ * Single-threaded. The caller carries [Replicate] messages between the nodes.
+ */
+public class KeyAuthority(
+    private val self: NodeId,
+    private val clock: MonotonicClock,
+    private val memoryMs: Long = DEFAULT_MEMORY_MS
+) {
+    private val records = HashMap<String, Record>()
+    private val slotStates = HashMap<Int, SlotState>()
+    private var map = OwnershipMap()
+
+    /** The number of keys remembered. */
+    public val size: Int get() = records.size
+
+    /** Takes a newer [map]; slots gained without their memory are closed for [memoryMs]. */
+    public fun onMap(next: OwnershipMap) {
+        next.slots.forEachIndexed { index, slot -> onSlot(index, map.slots.getOrNull(index), slot) }
+        map = next
+    }
+
+    /**
+     * Begins [claim]. [Step.Reply] is final; [Step.Replicate] must be acknowledged by the successor
+     * and passed to [onReplicated] before the claim counts.
+     */
+    public fun claim(claim: KeyClaim): Step {
+        val index = map.slotOf(claim.key)
+        val slot = index?.let { map.slots[it] }
+        if (slot == null || slot.owner != self) return Step.Reply(ClaimReply.Unavailable)
+        val record = records[claim.key]?.takeUnless { expired(it) }
+        val state = slotStates[index]
+        return when {
+            record != null -> heldStep(record, claim, slot)
+            state != null && isClosed(state) -> Step.Reply(ClaimReply.Forgotten)
+            state?.transferPending == true -> Step.Reply(ClaimReply.Unavailable)
+            else -> propose(claim, slot)
+        }
+    }
+
+    /** Takes the successor's answer to a [Step.Replicate] and returns the claimant's reply. */
+    public fun onReplicated(replicate: Replicate, accepted: Boolean): ClaimReply {
+        val record = records[replicate.claim.key]
+        val current = map.slotOf(replicate.claim.key)?.let { map.slots[it] }
+        val valid = accepted && current?.epoch == replicate.epoch && current.owner == self
+        if (record == null || record.claim.attempt != replicate.claim.attempt) {
+            return ClaimReply.Unavailable
+        }
+        if (!valid) {
+            if (!record.confirmed) records.remove(replicate.claim.key)
+            return ClaimReply.Unavailable
+        }
+        record.confirmed = true
+        return ClaimReply.Granted(replicate.epoch)
+    }
+
+    /** Acts as successor: records [replicate], or returns `false` if its epoch is not current. */
+    public fun acceptReplica(replicate: Replicate): Boolean {
+        val index = map.slotOf(replicate.claim.key) ?: return false
+        val slot = map.slots[index]
+        if (slot.epoch != replicate.epoch || slot.successor != self) return false
+        store(replicate)
+        return true
+    }
+
+    /** Records how the command of [key] ended. Returns the replica to pass to the successor. */
+    public fun finish(key: String, attempt: String, outcome: KeyOutcome.Finished): Replicate? {
+        val record = records[key]?.takeIf { it.claim.attempt == attempt } ?: return null
+        record.outcome = outcome
+        record.sinceMs = clock.nowMs()
+        val epoch = map.slotOf(key)?.let { map.slots[it].epoch } ?: return null
+        return Replicate(record.claim, epoch, outcome)
+    }
+
+    /** Frees [key] if [attempt] held it and surely did not run. */
+    public fun withdraw(key: String, attempt: String): Boolean {
+        val record = records[key]?.takeIf { it.claim.attempt == attempt } ?: return false
+        if (record.outcome is KeyOutcome.Finished) return false
+        records.remove(key)
+        return true
+    }
+
+    /** The memory of the slots that this node owns with [successor], or `null` if it has it all. */
+    public fun transferTo(successor: NodeId): Transfer? {
+        val slots = slotStates.filter { (index, state) ->
+            state.transferPending && map.slots[index].successor == successor
+        }
+        if (slots.isEmpty()) return null
+        val held = records.values.filter { map.slotOf(it.claim.key) in slots }
+        return Transfer(
+            slots = slots.map { (index, state) ->
+                Transfer.SlotMemory(index, map.slots[index].epoch, closedForMs(state))
+            },
+            records = held.map { Replicate(it.claim, epoch = 0, it.outcome) }
+        )
+    }
+
+    /** The successors that have yet to receive [transferTo] before this node may grant again. */
+    public fun pendingTransfers(): Set<NodeId> = slotStates
+        .filterValues { it.transferPending }
+        .mapNotNull { (index, _) -> map.slots.getOrNull(index)?.successor }
+        .toSet()
+
+    /** Acts as successor: replaces its memory of the slots in [transfer] that are current. */
+    public fun acceptTransfer(transfer: Transfer): Boolean {
+        val current = transfer.slots.filter { memory ->
+            val slot = map.slots.getOrNull(memory.slot)
+            slot?.successor == self && slot.epoch == memory.epoch
+        }
+        val indexes = current.map { it.slot }.toSet()
+        records.keys.removeAll { map.slotOf(it) in indexes }
+        transfer.records.filter { map.slotOf(it.claim.key) in indexes }.forEach { store(it) }
+        current.forEach { memory ->
+            val state = slotStates.getOrPut(memory.slot) { SlotState() }
+            state.memoryEpoch = memory.epoch
+            state.closedUntilMs = clock.nowMs() + memory.closedForMs
+        }
+        return current.size == transfer.slots.size
+    }
+
+    /** Notes that [successor] accepted [transfer]. */
+    public fun onTransferred(successor: NodeId, transfer: Transfer) {
+        transfer.slots.forEach { memory ->
+            val slot = map.slots.getOrNull(memory.slot)
+            if (slot?.successor == successor && slot.epoch == memory.epoch) {
+                slotStates[memory.slot]?.transferPending = false
+            }
+        }
+    }
+
+    /** Drops finished keys older than the memory, and pending ones of the same age. */
+    public fun expire() {
+        records.values.removeAll { expired(it) }
+    }
+
+    private fun onSlot(index: Int, before: OwnershipMap.Slot?, after: OwnershipMap.Slot) {
+        if (before == after) return
+        val state = slotStates.getOrPut(index) { SlotState() }
+        val fresh = after.epoch == FIRST_EPOCH
+        val continuous = fresh || state.memoryEpoch == after.epoch - 1
+        when {
+            after.owner == self -> {
+                if (!continuous) state.closedUntilMs = clock.nowMs() + memoryMs
+                state.memoryEpoch = after.epoch
+                state.transferPending = after.successor != null && !fresh
+            }
+
+            else -> {
+                state.transferPending = false
+                if (fresh && after.successor == self) state.memoryEpoch = after.epoch
+            }
+        }
+    }
+
+    private fun closedForMs(state: SlotState): Long =
+        if (isClosed(state)) state.closedUntilMs - clock.nowMs() else 0
+
+    private fun heldStep(record: Record, claim: KeyClaim, slot: OwnershipMap.Slot): Step {
+        val sameAttempt = record.claim.attempt == claim.attempt
+        if (sameAttempt && record.outcome is KeyOutcome.Pending) {
+            return Step.Replicate(Replicate(claim, slot.epoch, record.outcome), slot.successor)
+        }
+        val matches = record.claim.fingerprint == claim.fingerprint
+        return Step.Reply(ClaimReply.Held(record.outcome, matches))
+    }
+
+    private fun propose(claim: KeyClaim, slot: OwnershipMap.Slot): Step {
+        val record = Record(claim, KeyOutcome.Pending, clock.nowMs())
+        records[claim.key] = record
+        return Step.Replicate(Replicate(claim, slot.epoch, record.outcome), slot.successor)
+    }
+
+    private fun store(replicate: Replicate) {
+        val known = records[replicate.claim.key]
+        val settled =
+            known?.outcome is KeyOutcome.Finished && replicate.outcome is KeyOutcome.Pending
+        if (settled && known.claim.attempt == replicate.claim.attempt) return
+        records[replicate.claim.key] = Record(replicate.claim, replicate.outcome, clock.nowMs())
+    }
+
+    private fun expired(record: Record): Boolean = clock.nowMs() - record.sinceMs >= memoryMs
+
+    private fun isClosed(state: SlotState): Boolean = state.closedUntilMs > clock.nowMs()
+
+    private class Record(
+        val claim: KeyClaim,
+        var outcome: KeyOutcome,
+        var sinceMs: Long,
+        var confirmed: Boolean = false
+    )
+
+    private class SlotState(
+        var closedUntilMs: Long = Long.MIN_VALUE,
+        var transferPending: Boolean = false,
+        var memoryEpoch: Long = 0
+    )
+
+    /** What to do with a claim. */
+    public sealed class Step {
+        /** Send [reply] to the claimant. */
+        public data class Reply(val reply: ClaimReply) : Step()
+
+        /** Have [to] acknowledge [message] first; with no successor the claim counts at once. */
+        public data class Replicate(val message: KeyAuthority.Replicate, val to: NodeId?) : Step()
+    }
+
+    /** A claim and its outcome as the successor records it. */
+    @Serializable
+    public data class Replicate(val claim: KeyClaim, val epoch: Long, val outcome: KeyOutcome)
+
+    /** The memory of some slots, sent by their owner to a new successor. */
+    @Serializable
+    public data class Transfer(val slots: List<SlotMemory>, val records: List<Replicate>) {
+        /** The state of one slot; it grants nothing for the next [closedForMs] milliseconds. */
+        @Serializable
+        public data class SlotMemory(val slot: Int, val epoch: Long, val closedForMs: Long)
+    }
+
+    public companion object {
+        private const val FIRST_EPOCH = 1L
+
+        /** How long a key is remembered after its last change, in milliseconds. */
+        public const val DEFAULT_MEMORY_MS: Long = 600_000
+    }
+}
--- /dev/null
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyClaim.kt
@@ -0,0 +1,50 @@
+package org.bronzetide.coordination
+
+import kotlinx.serialization.Serializable
+
+/** A request to run the command named by [key] once, from the node that will dispatch it. */
+@Serializable
+public data class KeyClaim(
+    val key: String,
+    /** A digest of the request, so that a key cannot be reused for another one. */
+    val fingerprint: String,
+    val claimant: NodeId,
+    /** Unique for each attempt, so that a claim sent twice is recognised. */
+    val attempt: String
+)
+
+/** What is known of a claimed key. */
+@Serializable
+public sealed class KeyOutcome {
+    /** The claimant may dispatch; no result is known yet. */
+    @Serializable
+    public data object Pending : KeyOutcome()
+
+    /** The command ended with [verdict]; [answer] is kept if it was small enough. */
+    @Serializable
+    public data class Finished(val verdict: Verdict, val answer: KeptAnswer?) : KeyOutcome()
+}
+
+/** The answer of a finished command. */
+@Serializable
+public data class KeptAnswer(val status: Int, val contentType: String, val body: String)
+
+/** The authority's reply to a [KeyClaim]. */
+@Serializable
+public sealed class ClaimReply {
+    /** The claimant may dispatch once, under the slot's [epoch]. */
+    @Serializable
+    public data class Granted(val epoch: Long) : ClaimReply()
+
+    /** Another attempt holds the key; this one did not run. */
+    @Serializable
+    public data class Held(val outcome: KeyOutcome, val fingerprintMatches: Boolean) : ClaimReply()
+
+    /** The authority has no memory of earlier claims: this attempt did not run, one may have. */
+    @Serializable
+    public data object Forgotten : ClaimReply()
+
+    /** This node is not the authority, or cannot reach its successor; nothing was granted. */
+    @Serializable
+    public data object Unavailable : ClaimReply()
+}
--- /dev/null
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/MonotonicClock.kt
@@ -0,0 +1,13 @@
+package org.bronzetide.coordination
+
+/** A clock that never goes back. Its origin is arbitrary: readings of two hosts don't compare. */
+public fun interface MonotonicClock {
+    /** The time since the clock's origin, in milliseconds. */
+    public fun nowMs(): Long
+
+    public companion object {
+        /** The host's monotonic clock. */
+        public val System: MonotonicClock =
+            MonotonicClock { java.lang.System.nanoTime() / 1_000_000 }
+    }
+}
--- /dev/null
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/TimerService.kt
@@ -0,0 +1,73 @@
+package org.bronzetide.coordination
+
+import java.util.PriorityQueue
+
+/**
+ * Runs subscribed actions when they fall due.
+ *
+ * The service has no thread: its owner calls [runDue] and may sleep until [nextDueMs]. All calls
+ * come from one thread. Actions run in the order of their due time, ties in order of subscription.
+ * An action that falls due several times while its owner is paused runs once, then continues at
+ * its period.
+ */
+public class TimerService(private val clock: MonotonicClock) {
+    private val queue = PriorityQueue<Timer>(compareBy<Timer> { it.dueMs }.thenBy { it.order })
+    private var nextOrder = 0L
+
+    /** The time of [clock] at which the next action falls due, or `null` if there is none. */
+    public val nextDueMs: Long? get() = queue.peek()?.dueMs
+
+    /**
+     * Runs [action] every [periodMs] milliseconds, the first time after one period.
+     *
+     * @throws IllegalArgumentException if [periodMs] is not positive.
+     */
+    public fun every(periodMs: Long, action: () -> Unit): Subscription {
+        require(periodMs > 0) { "A period of $periodMs ms is not positive" }
+        return schedule(periodMs, periodMs, action)
+    }
+
+    /** Runs [action] once, [delayMs] milliseconds from now. */
+    public fun after(delayMs: Long, action: () -> Unit): Subscription =
+        schedule(delayMs, null, action)
+
+    /** Runs every action that is due now. */
+    public fun runDue() {
+        val nowMs = clock.nowMs()
+        while (true) {
+            val timer = queue.peek()?.takeIf { it.dueMs <= nowMs } ?: return
+            queue.poll()
+            if (timer.cancelled) continue
+            timer.periodMs?.let { queue.add(timer.next(maxOf(timer.dueMs + it, nowMs + 1))) }
+            timer.action()
+        }
+    }
+
+    private fun schedule(delayMs: Long, periodMs: Long?, action: () -> Unit): Subscription {
+        val timer = Timer(clock.nowMs() + delayMs, nextOrder++, periodMs, Subscription(), action)
+        queue.add(timer)
+        return timer.subscription
+    }
+
+    /** Ends a subscription; the action does not run afterwards. */
+    public class Subscription internal constructor() {
+        internal var cancelled: Boolean = false
+
+        /** Cancels the subscription. Cancelling twice has no effect. */
+        public fun cancel() {
+            cancelled = true
+        }
+    }
+
+    private class Timer(
+        val dueMs: Long,
+        val order: Long,
+        val periodMs: Long?,
+        val subscription: Subscription,
+        val action: () -> Unit
+    ) {
+        val cancelled: Boolean get() = subscription.cancelled
+
+        fun next(dueMs: Long) = Timer(dueMs, order, periodMs, subscription, action)
+    }
+}
--- /dev/null
+++ b/bronzetide-model/src/main/kotlin/org/bronzetide/model/IntentValidator.kt
@@ -0,0 +1,137 @@
+package org.bronzetide.model
+
+/** Finds every fault of an intent, seen against the configuration that it would change. */
+public object IntentValidator {
+    private val namePattern = Regex("[a-z0-9][a-z0-9._-]{0,62}")
+    private val digestPattern = Regex("[0-9a-f]{64}")
+
+    /** The faults of [intent], in the order of their places; none if it may be planned. */
+    public fun faults(intent: Intent, current: Configuration): List<Fault> {
+        val stated = intent.objects()
+        val after = Configuration(objects = current.objects - intent.remove.toSet() + stated)
+        val found = ArrayList<Fault>()
+        stated.forEach { (name, value) ->
+            if (!namePattern.matches(name.substringAfter('/'))) {
+                found +=
+                    Fault(
+                        name,
+                        "a name has 1 to 63 of a-z 0-9 . _ - and starts with a letter or digit"
+                    )
+            }
+            found += objectFaults(name, value, after)
+        }
+        found += removalFaults(intent, current, stated.keys)
+        found += danglingFaults(after, stated.keys)
+        found += ambiguityFaults(after)
+        return found.distinct().sortedBy { it.place }
+    }
+
+    private fun objectFaults(name: String, value: ConfigObject, after: Configuration): List<Fault> =
+        when (value) {
+            is ConfigObject.TierObject -> tierFaults(name, value)
+            is ConfigObject.CallerObject -> callerFaults(name, value)
+            is ConfigObject.PoolObject -> poolFaults(name, value)
+            is ConfigObject.RuleObject -> ruleFaults(name, value, after)
+        }
+
+    private fun tierFaults(name: String, tier: ConfigObject.TierObject) = listOfNotNull(
+        levelFault("$name.level", tier.level),
+        positiveFault("$name.deadlineMs", tier.deadlineMs.toDouble()),
+        tooLong("$name.deadlineMs", tier.deadlineMs)
+    )
+
+    private fun callerFaults(name: String, caller: ConfigObject.CallerObject) = listOfNotNull(
+        Fault("$name.keySha256", "must be 64 lower-case hexadecimal digits")
+            .takeUnless { digestPattern.matches(caller.keySha256) },
+        levelFault("$name.tier", caller.tier),
+        positiveFault("$name.weight", caller.weight)
+    )
+
+    private fun poolFaults(name: String, pool: ConfigObject.PoolObject): List<Fault> =
+        listOfNotNull(
+            Fault("$name.models", "a model pool needs a model name")
+                .takeIf { pool.kind == PoolKind.MODEL && pool.models.isEmpty() },
+            Fault("$name.operations", "a service pool needs an operation")
+                .takeIf { pool.kind == PoolKind.SERVICE && pool.operations.isEmpty() },
+            Fault("$name.operations", "an operation's path must start with /")
+                .takeIf { pool.operations.any { !it.path.startsWith("/") } },
+            Fault("$name.operations", "an operation's method must be GET, POST, PUT or DELETE")
+                .takeIf { pool.operations.any { it.method !in methods } },
+            positiveFault("$name.concurrencyPerTarget", pool.concurrencyPerTarget.toDouble()),
+            positiveFault("$name.maxQueued", pool.maxQueued.toDouble()),
+            positiveFault("$name.betweenTokensMs", pool.betweenTokensMs),
+            positiveFault("$name.shards", pool.shards.toDouble()),
+            Fault("$name.retryShare", "must be from 0 to 1").takeUnless {
+                pool.retryShare in
+                    0.0..1.0
+            }
+        )
+
+    private fun ruleFaults(
+        name: String,
+        rule: ConfigObject.RuleObject,
+        after: Configuration
+    ): List<Fault> = listOfNotNull(
+        rule.tier?.let { levelFault("$name.tier", it) },
+        rule.deadlineMs?.let { positiveFault("$name.deadlineMs", it.toDouble()) },
+        rule.deadlineMs?.let { tooLong("$name.deadlineMs", it) },
+        rule.requestsPerSecond?.let { positiveFault("$name.requestsPerSecond", it) },
+        rule.tokensPerSecond?.let { positiveFault("$name.tokensPerSecond", it) },
+        rule.concurrent?.let { positiveFault("$name.concurrent", it.toDouble()) },
+        Fault("$name.operation", "needs a pool that has this operation").takeIf {
+            rule.operation != null &&
+                after.pools[PoolId(rule.pool.orEmpty())]?.operations.orEmpty()
+                    .none { it.name == rule.operation }
+        }
+    )
+
+    private fun removalFaults(intent: Intent, current: Configuration, stated: Set<String>) =
+        intent.remove.mapNotNull { name ->
+            when (name) {
+                in stated -> Fault("remove[$name]", "is stated and removed at once")
+                !in current.objects -> Fault("remove[$name]", "does not exist")
+                else -> null
+            }
+        }
+
+    private fun danglingFaults(after: Configuration, stated: Set<String>): List<Fault> =
+        after.rules.flatMap { (name, rule) ->
+            val place = if ("rule/$name" in stated) "rule/$name" else "remove (rule/$name uses it)"
+            listOfNotNull(
+                Fault("$place.caller", "no caller is named ${rule.caller}")
+                    .takeIf { rule.caller != null && CallerId(rule.caller) !in after.callers },
+                Fault("$place.pool", "no pool is named ${rule.pool}")
+                    .takeIf { rule.pool != null && PoolId(rule.pool) !in after.pools }
+            )
+        }
+
+    private fun ambiguityFaults(after: Configuration): List<Fault> {
+        val models = after.pools.flatMap { (id, pool) -> pool.models.map { it to id } }
+            .groupBy({ it.first }, { it.second }).filterValues { it.size > 1 }
+            .map { (model, pools) ->
+                Fault("pool/${pools.last()}.models", "$model is also in ${pools.first()}")
+            }
+        val keys = after.callers.entries.groupBy {
+            it.value.keySha256
+        }.values.filter { it.size > 1 }
+            .map {
+                Fault("caller/${it.last().key}.keySha256", "is also the key of ${it.first().key}")
+            }
+        return models + keys
+    }
+
+    private fun levelFault(place: String, level: Int): Fault? =
+        Fault(place, "must be from ${Tier.MOST_URGENT} to ${Tier.LEAST_URGENT}")
+            .takeUnless { level in Tier.MOST_URGENT..Tier.LEAST_URGENT }
+
+    private fun positiveFault(place: String, value: Double): Fault? =
+        Fault(place, "must be positive").takeUnless { value > 0 && value.isFinite() }
+
+    private fun tooLong(place: String, valueMs: Long): Fault? =
+        Fault(place, "must be at most $MAX_DEADLINE_MS").takeIf { valueMs > MAX_DEADLINE_MS }
+
+    private val methods = setOf("GET", "POST", "PUT", "DELETE")
+
+    /** The longest deadline, in milliseconds; an idempotency key is remembered for longer. */
+    public const val MAX_DEADLINE_MS: Long = 240_000
+}
--- /dev/null
+++ b/bronzetide-model/src/main/kotlin/org/bronzetide/model/StructureChecker.kt
@@ -0,0 +1,111 @@
+package org.bronzetide.model
+
+import kotlinx.serialization.descriptors.PolymorphicKind
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.SerialKind
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.descriptors.elementDescriptors
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Compares a JSON document with the type it should have, and finds every fault, not only one. */
+public object StructureChecker {
+    /** The faults of [element] against [descriptor]; places are paths below [place]. */
+    public fun faults(
+        element: JsonElement,
+        descriptor: SerialDescriptor,
+        place: String = ""
+    ): List<Fault> = when {
+        element is JsonNull ->
+            if (descriptor.isNullable) emptyList() else listOf(Fault(place, "must not be null"))
+
+        descriptor.isInline -> faults(element, descriptor.getElementDescriptor(0), place)
+
+        else -> ofKind(element, descriptor, place)
+    }
+
+    private fun ofKind(
+        element: JsonElement,
+        descriptor: SerialDescriptor,
+        place: String
+    ): List<Fault> = when (val kind = descriptor.kind) {
+        is PrimitiveKind -> listOfNotNull(primitiveFault(element, kind, place))
+        SerialKind.ENUM -> listOfNotNull(enumFault(element, descriptor, place))
+        StructureKind.LIST -> listFaults(element, descriptor, place)
+        StructureKind.MAP -> mapFaults(element, descriptor, place)
+        is PolymorphicKind -> emptyList()
+        else -> objectFaults(element, descriptor, place)
+    }
+
+    private fun objectFaults(
+        element: JsonElement,
+        descriptor: SerialDescriptor,
+        place: String
+    ): List<Fault> {
+        if (element !is JsonObject) return listOf(Fault(place, "must be an object"))
+        val names = descriptor.elementNames.toList()
+        val unknown = element.keys.filter { it !in names }
+            .map { Fault(below(place, it), "is not known; known are ${names.joinToString()}") }
+        val missing = names
+            .filter { it !in element && !descriptor.isElementOptional(names.indexOf(it)) }
+            .map { Fault(below(place, it), "is missing") }
+        val nested = names.zip(descriptor.elementDescriptors.toList()).flatMap { (name, type) ->
+            element[name]?.let { faults(it, type, below(place, name)) }.orEmpty()
+        }
+        return unknown + missing + nested
+    }
+
+    private fun listFaults(element: JsonElement, descriptor: SerialDescriptor, place: String) =
+        if (element !is JsonArray) {
+            listOf(Fault(place, "must be a list"))
+        } else {
+            val type = descriptor.getElementDescriptor(0)
+            element.flatMapIndexed { index, item -> faults(item, type, "$place[$index]") }
+        }
+
+    private fun mapFaults(element: JsonElement, descriptor: SerialDescriptor, place: String) =
+        if (element !is JsonObject) {
+            listOf(Fault(place, "must be an object"))
+        } else {
+            val type = descriptor.getElementDescriptor(1)
+            element.flatMap { (name, item) -> faults(item, type, below(place, name)) }
+        }
+
+    private fun enumFault(
+        element: JsonElement,
+        descriptor: SerialDescriptor,
+        place: String
+    ): Fault? {
+        val names = descriptor.elementNames.toList()
+        val isKnown = element is JsonPrimitive && element.isString && element.content in names
+        return if (isKnown) null else Fault(place, "must be one of ${names.joinToString()}")
+    }
+
+    private fun primitiveFault(element: JsonElement, kind: PrimitiveKind, place: String): Fault? {
+        val text = (element as? JsonPrimitive)?.content
+        val isString = (element as? JsonPrimitive)?.isString == true
+        val expected = when (kind) {
+            PrimitiveKind.STRING -> "a string".takeUnless { isString }
+            PrimitiveKind.BOOLEAN -> "true or false".takeUnless { !isString && text in booleans }
+            PrimitiveKind.INT -> "a whole number".takeUnless {
+                !isString &&
+                    text?.toIntOrNull() != null
+            }
+            PrimitiveKind.LONG -> "a whole number".takeUnless {
+                !isString &&
+                    text?.toLongOrNull() != null
+            }
+            else -> "a number".takeUnless { !isString && text?.toDoubleOrNull() != null }
+        }
+        return expected?.let { Fault(place, "must be $it") }
+    }
+
+    private fun below(place: String, name: String) = if (place.isEmpty()) name else "$place.$name"
+
+    private val booleans = setOf("true", "false")
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Bronzetided.kt
@@ -0,0 +1,65 @@
+package org.bronzetide.node
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.file
+import java.util.concurrent.CountDownLatch
+import kotlinx.coroutines.runBlocking
+
+/** The command line of a node. */
+internal class Bronzetided : CliktCommand(name = "bronzetided") {
+    private val settingsFile by option("--settings", help = "the settings, JSON with comments")
+        .file()
+        .required()
+    private val isCheck by option("--check", help = "check the settings and end").flag()
+
+    override fun help(context: Context): String =
+        "Runs a node. Exit codes: 0 stopped as planned, 1 requests or ledger lines were lost, " +
+            "2 bad settings."
+
+    override fun run() {
+        when (val result = Settings.load(settingsFile)) {
+            is SettingsResult.Invalid -> {
+                result.faults.forEach { echo("${it.place}: ${it.message}", err = true) }
+                throw ProgramResult(EXIT_BAD_SETTINGS)
+            }
+
+            is SettingsResult.Valid -> if (isCheck) {
+                echo(
+                    "settings are valid"
+                )
+            } else {
+                serve(result.settings)
+            }
+        }
+    }
+
+    private fun serve(settings: Settings) {
+        val node = Node(settings)
+        val ended = CountDownLatch(1)
+        var exitCode = 0
+        val onSignal = Thread {
+            val isDone = runBlocking { node.drain() }
+            node.close()
+            exitCode = if (isDone) 0 else EXIT_INCOMPLETE
+            ended.countDown()
+            Runtime.getRuntime().halt(exitCode)
+        }
+        Runtime.getRuntime().addShutdownHook(onSignal)
+        node.start()
+        ended.await()
+    }
+
+    private companion object {
+        const val EXIT_INCOMPLETE = 1
+        const val EXIT_BAD_SETTINGS = 2
+    }
+}
+
+/** Runs a node. */
+fun main(args: Array<String>) = Bronzetided().main(args)
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
@@ -0,0 +1,286 @@
+package org.bronzetide.node
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import org.bronzetide.coordination.Blackboard
+import org.bronzetide.coordination.Document
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.Membership
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.PoolId
+import org.bronzetide.model.Tier
+import org.bronzetide.node.documents.Documents
+import org.bronzetide.node.documents.PlatformWatch
+import org.bronzetide.node.documents.SharedDocument
+import org.bronzetide.node.documents.toConfiguration
+import org.bronzetide.node.documents.toDocument
+import org.bronzetide.node.documents.toHosts
+import org.bronzetide.node.documents.toOwnershipMap
+import org.bronzetide.node.keys.KeyService
+import org.bronzetide.node.keys.OwnershipKeeper
+import org.bronzetide.node.operator.MemberStatus
+import org.bronzetide.node.operator.NodeStatus
+import org.bronzetide.node.operator.PoolStatus
+import org.bronzetide.node.operator.RecentRefusals
+import org.bronzetide.node.operator.StatusService
+import org.bronzetide.node.operator.TargetStatus
+import org.bronzetide.node.peer.PeerAddress
+import org.bronzetide.node.peer.PeerMessage
+import org.bronzetide.node.peer.Peers
+import org.bronzetide.node.turns.Arbiters
+import org.bronzetide.node.turns.ArbitratedTurns
+import org.bronzetide.platform.HostList
+import org.bronzetide.platform.ObjectStore
+
+/**
+ * The node's part in the cluster: membership, shared documents, turns and idempotency keys, all on
+ * the control thread. Controllers meet on the blackboard; messages are handed to them here.
+ */
+internal class Cluster(
+    private val self: NodeId,
+    private val settings: Settings,
+    startedAtMs: Long,
+    private val clock: MonotonicClock,
+    private val control: ControlLoop,
+    store: ObjectStore,
+    hostList: HostList,
+    private val ownLoad: () -> OwnLoad
+) : AutoCloseable {
+    private val board = Blackboard()
+    private val peers = Peers(settings.host, settings.peerPort, settings.clusterKey, self, control)
+    private val membership = Membership(
+        Member(self, settings.zone, settings.host, peers.port, startedAtMs, MemberState.ALIVE),
+        clock,
+        Random(self.hashCode())
+    )
+    private val documents =
+        Documents(self, settings.zone, { membership.eligible() }, peers::send, ::onDocument)
+    private val watch =
+        PlatformWatch(self, settings.zone, store, hostList, documents, control) {
+            membership.eligible()
+        }
+    private val keeper = OwnershipKeeper(
+        self,
+        settings.keySlots,
+        store,
+        control,
+        { membership.view() },
+        { documents.current(SharedDocument.OWNERSHIP) },
+        { documents.offer(SharedDocument.OWNERSHIP, it) }
+    )
+    private var viewVersion = -1L
+    private var knownDead = emptySet<NodeId>()
+
+    /** What traffic may read. */
+    val view = ClusterView(board)
+
+    /** The entry side of turns. */
+    val turns = ArbitratedTurns(control, clock, ::shardsOf, peers::send)
+
+    /** Idempotency keys. */
+    val keys = KeyService(self, control, clock, peers::send)
+
+    /** Recent refusals, for display. */
+    val refusals = RecentRefusals(clock)
+
+    /** Status of the cluster. */
+    val status = StatusService(self, control, { membership.view() }, ::ownStatus, peers::send)
+
+    private val arbiters = Arbiters(
+        clock,
+        settings.features,
+        { view.configuration.pools[it] },
+        { view.targetsOf(it) },
+        peers::send
+    )
+
+    /** The port for peers. */
+    val peerPort: Int get() = peers.port
+
+    /** The bytes sent to peers. */
+    val bytesSent: Long get() = peers.traffic.sentBytes.get()
+
+    /** Whether the configuration in force is the newest that could be learnt. */
+    val isConfigurationCurrent: Boolean get() = watch.isConfigurationCurrent
+
+    fun start(scope: CoroutineScope) {
+        peers.addressOf =
+            { id -> view.members.find { it.id == id }?.let { PeerAddress(it.host, it.peerPort) } }
+        peers.onMessage = ::onMessage
+        peers.onUnreachable = {
+            membership.suspect(it)
+            refreshView()
+        }
+        peers.onReplaced = {
+            membership.declareDead(it)
+            refreshView()
+        }
+        peers.start()
+        startTimers()
+        control.post { refreshView() }
+        watch.start(scope)
+        keeper.start(scope)
+    }
+
+    /** Announces that this node stops as planned, so that its roles move. */
+    suspend fun leave() = control.call {
+        membership.leave()
+        refreshView()
+        probe()
+    }
+
+    /** Whether this node still arbitrates tickets or owns slots that it could hand over. */
+    suspend fun hasRoles(): Boolean = control.call {
+        val others = membership.eligible().any { it.id != self }
+        val map = documents.current(SharedDocument.OWNERSHIP).toOwnershipMap()
+        val ownsSlots = map.slots.any { it.owner == self }
+        others && (arbiters.ticketCount > 0 || ownsSlots)
+    }
+
+    /** Takes a configuration that was just confirmed through this node. */
+    suspend fun offerConfiguration(configuration: Configuration) = control.call {
+        documents.offer(SharedDocument.CONFIG, configuration.toDocument())
+    }
+
+    /** Whether [node] is a live process of the cluster. */
+    fun isLive(node: NodeId): Boolean =
+        view.members.any { it.id == node && it.state != MemberState.DEAD }
+
+    override fun close() = peers.close()
+
+    private fun startTimers() = with(control.timers) {
+        every(PROBE_MS) {
+            probe()
+            refreshView()
+        }
+        every(DECIDE_MS) { arbiters.decideAll() }
+        every(AUDIT_MS) { turns.audit() }
+        every(KEYS_MS) { keys.maintain() }
+    }
+
+    private fun probe() {
+        val versions = documents.versions()
+        membership.tick().forEach {
+            peers.send(it.to, PeerMessage.ProbeMessage(it.probe, versions))
+        }
+        val known = membership.view().filter { it.state != MemberState.DEAD }
+            .map { PeerAddress(it.host, it.peerPort) }.toSet()
+        val strangers = view.hosts.nodes.map { PeerAddress(it.host, it.peerPort) }.filter {
+            it !in
+                known
+        }
+        val hello = Membership.Probe(membership.self, emptyList())
+        strangers.shuffled().take(MAX_STRANGERS).forEach {
+            peers.send(it, PeerMessage.ProbeMessage(hello, versions))
+        }
+    }
+
+    private fun onMessage(from: NodeId, message: PeerMessage) = when (message) {
+        is PeerMessage.ProbeMessage -> onProbe(from, message)
+        is PeerMessage.DocumentPull -> documents.onPull(from, message)
+        is PeerMessage.DocumentUpdate -> documents.onUpdate(from, message)
+        is PeerMessage.Enroll -> arbiters.onEnroll(from, message)
+        is PeerMessage.Releases -> arbiters.onReleases(from, message)
+        is PeerMessage.Decisions -> turns.onDecisions(from, message)
+        is PeerMessage.Audit -> arbiters.onAudit(from, message)
+        is PeerMessage.Missing -> turns.onMissing(message)
+        is PeerMessage.ClaimCall -> keys.onClaimCall(from, message)
+        is PeerMessage.ClaimAnswer -> keys.onClaimAnswer(message)
+        is PeerMessage.ReplicateCall -> keys.onReplicateCall(from, message)
+        is PeerMessage.TransferCall -> keys.onTransferCall(from, message)
+        is PeerMessage.ReplicaAnswer -> keys.onReplicaAnswer(message)
+        is PeerMessage.KeyEnded -> keys.onKeyEnded(message)
+        is PeerMessage.StatusCall -> status.onCall(from, message)
+        is PeerMessage.StatusAnswer -> status.onAnswer(message)
+    }
+
+    private fun onProbe(from: NodeId, message: PeerMessage.ProbeMessage) {
+        if (message.isAck) {
+            membership.onAck(message.probe)
+            refreshView()
+        } else {
+            val ack = membership.onProbe(message.probe)
+            refreshView()
+            peers.send(from, PeerMessage.ProbeMessage(ack, documents.versions(), isAck = true))
+        }
+        documents.onVersions(from, message.versions)
+        watch.onPeerVersion(from, message.versions[SharedDocument.CONFIG.ordinal])
+    }
+
+    private fun refreshView() {
+        if (membership.version == viewVersion) return
+        viewVersion = membership.version
+        board[ClusterView.MEMBERS] = membership.view()
+        val dead = membership.view().filter { it.state == MemberState.DEAD }.map { it.id }.toSet()
+        val candidates = membership.eligible().map { it.id }
+        arbiters.onViewChange()
+        (dead - knownDead).forEach { arbiters.onNodeDead(it) }
+        knownDead = dead
+        turns.onCandidates(candidates)
+    }
+
+    private fun onDocument(kind: SharedDocument, document: Document) = when (kind) {
+        SharedDocument.CONFIG -> {
+            board[ClusterView.CONFIGURATION] = document.toConfiguration()
+            arbiters.refresh()
+        }
+
+        SharedDocument.HOSTS -> {
+            board[ClusterView.HOSTS] = ClusterView.IndexedHosts(document.toHosts())
+            arbiters.refresh()
+        }
+
+        SharedDocument.OWNERSHIP -> {
+            val map = document.toOwnershipMap()
+            board[ClusterView.OWNERSHIP] = map
+            keys.onMap(map)
+        }
+    }
+
+    private fun shardsOf(pool: PoolId): Int = view.configuration.pools[pool]?.shards ?: 1
+
+    private fun ownStatus(): NodeStatus {
+        val load = ownLoad()
+        val (config, hosts, ownership) = documents.versions()
+        return NodeStatus(
+            node = self.value,
+            zone = settings.zone,
+            isReady = load.isReady,
+            configurationVersion = config,
+            hostListRevision = hosts,
+            ownershipVersion = ownership,
+            requestsInside = load.requests,
+            ledgerBuffered = load.ledgerLines,
+            keysRemembered = keys.size,
+            pools = poolStatuses(),
+            members = membership.view().map { MemberStatus(it.id.value, it.zone, it.state.name) },
+            recentRefusals = refusals.counts()
+        )
+    }
+
+    private fun poolStatuses() = arbiters.schedulers.map { (shard, scheduler) ->
+        PoolStatus(
+            pool = shard.pool.value,
+            shard = shard.index,
+            running = scheduler.runningCount,
+            queuedByTier = Tier.all.map { scheduler.queuedCount(it) },
+            targets = scheduler.targetViews().map {
+                TargetStatus(it.id.value, it.inFlight, it.limit, it.isEjected, it.isLeaving)
+            }
+        )
+    }
+
+    /** What the traffic side adds to the status. */
+    class OwnLoad(val requests: Int, val ledgerLines: Int, val isReady: Boolean)
+
+    private companion object {
+        const val PROBE_MS = 500L
+        const val DECIDE_MS = 20L
+        const val AUDIT_MS = 1_000L
+        const val KEYS_MS = 500L
+        const val MAX_STRANGERS = 4
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/LoadReports.kt
@@ -0,0 +1,50 @@
+package org.bronzetide.node
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.TargetId
+import org.bronzetide.platform.TargetHost
+
+/** Polls the targets' load reports, which lag; only the baseline by least load uses them. */
+internal class LoadReports(
+    private val http: HttpClient,
+    private val targets: () -> List<TargetHost>
+) {
+    private val loads = ConcurrentHashMap<TargetId, Int>()
+
+    fun of(target: TargetId): Int = loads[target] ?: 0
+
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                targets().forEach { host -> launch { poll(host) } }
+                delay(POLL_MS)
+            }
+        }
+    }
+
+    private suspend fun poll(host: TargetHost) {
+        runCatching {
+            val text = http.get("${host.url}/v1/load") {
+                timeout { requestTimeoutMillis = POLL_MS }
+            }.bodyAsText()
+            val load = Jsons.wire.decodeFromString(Load.serializer(), text)
+            loads[TargetId(host.id)] = load.running + load.waiting
+        }
+    }
+
+    @Serializable
+    private class Load(val running: Int = 0, val waiting: Int = 0)
+
+    private companion object {
+        const val POLL_MS = 500L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/ConnectFailures.kt
@@ -0,0 +1,13 @@
+package org.bronzetide.node.dispatch
+
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+import java.nio.channels.UnresolvedAddressException
+
+/** Whether this failure came before a connection existed, so that no byte was written. */
+internal val Throwable.isConnectFailure: Boolean
+    get() = this is ConnectException ||
+        this is ConnectTimeoutException ||
+        this is NoRouteToHostException ||
+        this is UnresolvedAddressException
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/StreamReader.kt
@@ -0,0 +1,130 @@
+package org.bronzetide.node.dispatch
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.bronzetide.coordination.KeptAnswer
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.model.Jsons
+
+/** A new part of an answer: the data of one server-sent event, and its text. */
+internal class StreamEvent(val data: String, val text: String)
+
+/** Reads an engine's server-sent events across resumed connections, without gaps or repeats. */
+internal class StreamReader(
+    private val clock: MonotonicClock,
+    private val promptTokens: Int,
+    private val emit: suspend (StreamEvent) -> Unit
+) {
+    private val startedAtMs = clock.nowMs()
+    private val text = StringBuilder()
+    private var firstTokenAtMs = 0L
+    private var eventId: Int? = null
+    private var finish: Chunk? = null
+    private var endedAtMs = 0L
+
+    /** The tokens received so far, which is where a resumed stream goes on. */
+    var position = 0
+        private set
+
+    /** Whether the engine marked the end of the answer. */
+    var isDone = false
+        private set
+
+    val isCancelled: Boolean get() = finish?.choices?.firstOrNull()?.finishReason == "cancelled"
+
+    suspend fun onLine(line: String) {
+        when {
+            line.startsWith("id: ") -> eventId = line.substring(ID_START).trim().toIntOrNull()
+            line == "data: [DONE]" -> finish()
+            line.startsWith("data: ") -> onData(line.substring(DATA_START))
+        }
+    }
+
+    fun usage(): Usage = Usage(
+        promptTokens = finish?.usage?.promptTokens ?: promptTokens,
+        outputTokens = maxOf(finish?.usage?.completionTokens ?: 0, position),
+        firstTokenMs = if (firstTokenAtMs == 0L) 0 else firstTokenAtMs - startedAtMs,
+        durationMs = (if (isDone) endedAtMs else clock.nowMs()) - startedAtMs
+    )
+
+    /** The whole answer as a response that is not streamed. */
+    fun answer(): KeptAnswer {
+        val end = finish
+        val body = buildJsonObject {
+            put("id", end?.id.orEmpty())
+            put("object", "chat.completion")
+            put("choices", choices(end))
+            putJsonObject("usage") {
+                put("prompt_tokens", end?.usage?.promptTokens ?: promptTokens)
+                put("completion_tokens", position)
+            }
+        }
+        return KeptAnswer(status = 200, contentType = "application/json", body = body.toString())
+    }
+
+    private fun choices(end: Chunk?) = buildJsonArray {
+        add(
+            buildJsonObject {
+                put("index", 0)
+                putJsonObject("message") {
+                    put("role", "assistant")
+                    put("content", text.toString())
+                }
+                put("finish_reason", JsonPrimitive(end?.choices?.firstOrNull()?.finishReason))
+            }
+        )
+    }
+
+    private fun finish() {
+        isDone = finish != null
+        endedAtMs = clock.nowMs()
+    }
+
+    private suspend fun onData(data: String) {
+        val chunk = Jsons.wire.decodeFromString(Chunk.serializer(), data)
+        val choice = chunk.choices.firstOrNull()
+        if (choice?.finishReason != null) finish = chunk
+        val content = choice?.delta?.content
+        val next = eventId ?: (position + 1)
+        eventId = null
+        if (content == null) return emit(StreamEvent(data, ""))
+        if (next <= position) return
+        if (firstTokenAtMs == 0L) firstTokenAtMs = clock.nowMs()
+        position = next
+        text.append(content)
+        emit(StreamEvent(data, content))
+    }
+
+    @Serializable
+    internal class Chunk(
+        val id: String = "",
+        val choices: List<Choice> = emptyList(),
+        val usage: TokenUsage? = null
+    )
+
+    @Serializable
+    internal class Choice(
+        val delta: Delta? = null,
+        @SerialName("finish_reason") val finishReason: String? = null
+    )
+
+    @Serializable
+    internal class Delta(val content: String? = null)
+
+    @Serializable
+    internal class TokenUsage(
+        @SerialName("prompt_tokens") val promptTokens: Int = 0,
+        @SerialName("completion_tokens") val completionTokens: Int = 0
+    )
+
+    private companion object {
+        const val ID_START = 4
+        const val DATA_START = 6
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/documents/PlatformWatch.kt
@@ -0,0 +1,135 @@
+package org.bronzetide.node.documents
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.bronzetide.coordination.Backoff
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.RendezvousHash
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.Jsons
+import org.bronzetide.node.ControlLoop
+import org.bronzetide.platform.HostList
+import org.bronzetide.platform.ObjectStore
+import org.bronzetide.platform.ReadResult
+import org.slf4j.LoggerFactory
+
+/** The store's key of the configuration. */
+internal const val CONFIG_KEY = "bronzetide/config"
+
+/**
+ * Brings changes of the configuration and the host list from the platform into the cluster.
+ *
+ * [WATCHERS_PER_ZONE] nodes of each availability zone, placed by rendezvous hashing, wait on the
+ * store and ask the host list; the others learn from peers, and look themselves only now and then.
+ */
+internal class PlatformWatch(
+    private val self: NodeId,
+    private val zone: String,
+    private val store: ObjectStore,
+    private val hostList: HostList,
+    private val documents: Documents,
+    private val control: ControlLoop,
+    private val eligible: () -> List<Member>
+) {
+    private val log = LoggerFactory.getLogger(PlatformWatch::class.java)
+    private val heard = HashMap<NodeId, Long>()
+
+    /** Whether this node's configuration is known to be the newest accepted one it could learn. */
+    @Volatile
+    var isConfigurationCurrent = false
+        private set
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { watchConfiguration() }
+        scope.launch { pollHosts() }
+    }
+
+    /** Counts what peers hold, for a start while the store is away. */
+    fun onPeerVersion(peer: NodeId, version: Long) {
+        if (isConfigurationCurrent) return
+        heard[peer] = version
+        val others = eligible().count { it.id != self }
+        val mine = documents.current(SharedDocument.CONFIG).version
+        val isQuorum = heard.size * 2 >= others && mine > 0 && mine >= heard.values.max()
+        if (isQuorum) becomeCurrent("peers")
+    }
+
+    private suspend fun watchConfiguration() {
+        val backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS, Random(self.hashCode()))
+        var storeVersion = 0L
+        while (true) {
+            val isFirst = !isConfigurationCurrent
+            if (!isFirst && !isWatcher()) {
+                delay(NON_WATCHER_CHECK_MS)
+                continue
+            }
+            val result = if (isFirst) {
+                store.read(
+                    CONFIG_KEY
+                )
+            } else {
+                store.watch(CONFIG_KEY, storeVersion, WATCH_MS)
+            }
+            when (result) {
+                is ReadResult.Found -> {
+                    storeVersion = result.stored.version
+                    adopt(result.stored.value)
+                    backoff.reset()
+                }
+
+                is ReadResult.Missing -> control.call { becomeCurrent("empty store") }
+
+                is ReadResult.Unchanged -> backoff.reset()
+
+                is ReadResult.Unavailable -> delay(backoff.nextMs())
+            }
+            if (result is ReadResult.Missing) delay(NON_WATCHER_CHECK_MS)
+        }
+    }
+
+    /** Takes the configuration's text as the store holds it. */
+    private suspend fun adopt(text: String) {
+        val configuration = Jsons.wire.decodeFromString(Configuration.serializer(), text)
+        control.call {
+            documents.offer(SharedDocument.CONFIG, configuration.toDocument())
+            becomeCurrent("store")
+        }
+    }
+
+    private suspend fun pollHosts() {
+        var isFirst = true
+        while (true) {
+            if (isFirst || isWatcher()) {
+                hostList.fetch()?.let { hosts ->
+                    isFirst = false
+                    control.call { documents.offer(SharedDocument.HOSTS, hosts.toDocument()) }
+                }
+            }
+            delay(HOST_POLL_MS)
+        }
+    }
+
+    private suspend fun isWatcher(): Boolean = control.call {
+        val inZone = eligible().filter { it.zone == zone }.map { it.id }
+        self in RendezvousHash.rank("watch/$zone", inZone).take(WATCHERS_PER_ZONE)
+    }
+
+    private fun becomeCurrent(source: String) {
+        if (isConfigurationCurrent) return
+        isConfigurationCurrent = true
+        val version = documents.current(SharedDocument.CONFIG).version
+        log.info("configuration version {} from {}", version, source)
+    }
+
+    private companion object {
+        const val WATCHERS_PER_ZONE = 2
+        const val WATCH_MS = 8_000L
+        const val FIRST_RETRY_MS = 200L
+        const val MAX_RETRY_MS = 2_000L
+        const val NON_WATCHER_CHECK_MS = 500L
+        const val HOST_POLL_MS = 400L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/Answers.kt
@@ -0,0 +1,120 @@
+package org.bronzetide.node.entry
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.bronzetide.coordination.KeptAnswer
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.coordination.Verdict
+import org.bronzetide.model.RequestId
+
+private const val CLIENT_CLOSED_REQUEST = 499
+
+/** The status code under which clients expect a refusal for this reason. */
+internal val RefusalReason.status: HttpStatusCode
+    get() = when (this) {
+        RefusalReason.INVALID -> HttpStatusCode.BadRequest
+
+        RefusalReason.UNAUTHENTICATED -> HttpStatusCode.Unauthorized
+
+        RefusalReason.FORBIDDEN -> HttpStatusCode.Forbidden
+
+        RefusalReason.UNKNOWN_POOL -> HttpStatusCode.NotFound
+
+        RefusalReason.OVER_LIMIT -> HttpStatusCode.TooManyRequests
+
+        RefusalReason.DEADLINE -> HttpStatusCode.GatewayTimeout
+
+        RefusalReason.KEY_REUSED -> HttpStatusCode.Conflict
+
+        RefusalReason.CANCELLED -> HttpStatusCode(CLIENT_CLOSED_REQUEST, "Client Closed Request")
+
+        RefusalReason.SHED, RefusalReason.NO_TARGET, RefusalReason.UNAVAILABLE,
+        RefusalReason.KEY_AUTHORITY
+        -> HttpStatusCode.ServiceUnavailable
+    }
+
+/** Sets the headers that every answer carries. */
+internal fun ApplicationCall.verdictHeaders(id: RequestId, verdict: Verdict) {
+    response.header(Headers.REQUEST_ID, id.value)
+    response.header(Headers.VERDICT, verdict.label)
+    if (verdict.explanation.isNotEmpty()) response.header(Headers.REASON, verdict.explanation)
+}
+
+/** Answers a request that ended as [end] and was not streamed. */
+internal suspend fun ApplicationCall.respondEnd(id: RequestId, end: RequestEnd) {
+    val answer = end.answer
+    if (answer != null) return respondAnswer(id, end, answer)
+    when (val verdict = end.verdict) {
+        is Verdict.NotRun -> respondRefusal(id, verdict.reason, end.message, end.retryAfterMs)
+
+        is Verdict.MayHaveRun -> {
+            val conflict = HttpStatusCode.Conflict.takeIf { end.isInProgress }
+            respondError(id, conflict ?: HttpStatusCode.BadGateway, verdict, verdict.detail)
+        }
+
+        is Verdict.Ran -> respondError(
+            id,
+            HttpStatusCode.Conflict,
+            verdict,
+            "the request ran; its answer was too large to be kept"
+        )
+    }
+}
+
+/** Refuses a request that did not run. */
+internal suspend fun ApplicationCall.respondRefusal(
+    id: RequestId,
+    reason: RefusalReason,
+    message: String? = null,
+    retryAfterMs: Long = 0
+) {
+    if (retryAfterMs > 0) {
+        response.header(HttpHeaders.RetryAfter, ((retryAfterMs + 999) / 1_000).toString())
+    }
+    if (reason ==
+        RefusalReason.UNAUTHENTICATED
+    ) {
+        response.header(HttpHeaders.WWWAuthenticate, "Bearer")
+    }
+    respondError(id, reason.status, Verdict.NotRun(reason), message ?: reason.label)
+}
+
+/** Answers with an error and its verdict. */
+internal suspend fun ApplicationCall.respondError(
+    id: RequestId,
+    status: HttpStatusCode,
+    verdict: Verdict,
+    message: String
+) {
+    verdictHeaders(id, verdict)
+    respondText(errorBody(id, verdict, message), ContentType.Application.Json, status)
+}
+
+/** The body of an error, also used as the last event of a stream that fails midway. */
+internal fun errorBody(id: RequestId, verdict: Verdict, message: String): String = buildJsonObject {
+    putJsonObject("error") {
+        put("message", message)
+        put("type", if (verdict is Verdict.NotRun) "refused" else "failed")
+        put("verdict", verdict.label)
+        put("reason", verdict.explanation)
+        put("request_id", id.value)
+    }
+}.toString()
+
+private suspend fun ApplicationCall.respondAnswer(
+    id: RequestId,
+    end: RequestEnd,
+    answer: KeptAnswer
+) {
+    verdictHeaders(id, end.verdict)
+    if (end.isReplayed) response.header("X-Replayed", "true")
+    val status = HttpStatusCode.fromValue(answer.status)
+    respondText(answer.body, ContentType.parse(answer.contentType), status)
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CallerRoutes.kt
@@ -0,0 +1,253 @@
+package org.bronzetide.node.entry
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.queryString
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import io.opentelemetry.api.trace.Span
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.coordination.Verdict
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.Operation
+import org.bronzetide.model.PoolId
+import org.bronzetide.model.RequestId
+import org.bronzetide.node.dispatch.StreamEvent
+import org.bronzetide.node.operator.RecentRefusals
+import org.bronzetide.node.telemetry.NodeMetrics
+import org.bronzetide.node.telemetry.Tracing
+
+/** The callers' HTTP interface. */
+internal class CallerRoutes(
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val admission: Admission,
+    private val bodies: BodyReader,
+    private val flow: RequestFlow,
+    private val keyed: KeyedRun,
+    private val metrics: NodeMetrics,
+    private val tracing: Tracing,
+    private val gate: RequestGate,
+    private val refusals: RecentRefusals
+) {
+    fun install(routes: Route) {
+        routes.post("/v1/chat/completions") { handle(call) { complete(it) } }
+        routes.route("/v1/services/{pool}/{path...}") {
+            handle { handle(call) { callService(it) } }
+        }
+    }
+
+    private suspend fun handle(call: ApplicationCall, serve: suspend (Arrival) -> Unit) {
+        val id = admission.newRequestId()
+        val refusal = gate.enter()
+        if (refusal != null) return call.respondRefusal(id, refusal, retryAfterMs = GATE_RETRY_MS)
+        val span = tracing.entry { call.request.header(it) }
+        try {
+            val caller = admission.callerOf(call)
+                ?: return call.respondRefusal(id, RefusalReason.UNAUTHENTICATED)
+            val text = bodyOf(call, id) ?: return
+            serve(Arrival(call, id, caller, text, span))
+        } finally {
+            span.end()
+            gate.leave()
+        }
+    }
+
+    private suspend fun bodyOf(call: ApplicationCall, id: RequestId): String? {
+        val notRun = Verdict.NotRun(RefusalReason.INVALID)
+        when (val body = bodies.read(call)) {
+            is BodyReader.BodyResult.Text -> return body.text
+
+            is BodyReader.BodyResult.TooLarge ->
+                call.respondError(
+                    id,
+                    HttpStatusCode.PayloadTooLarge,
+                    notRun,
+                    "the body is too large"
+                )
+
+            is BodyReader.BodyResult.TooSlow ->
+                call.respondError(
+                    id,
+                    HttpStatusCode.RequestTimeout,
+                    notRun,
+                    "the body came too slowly"
+                )
+
+            is BodyReader.BodyResult.NotText ->
+                call.respondRefusal(id, RefusalReason.INVALID, "the body is not valid UTF-8")
+        }
+        return null
+    }
+
+    private suspend fun complete(arrival: Arrival) {
+        when (val parsed = CompletionParser.parse(arrival.text)) {
+            is CompletionParser.ParseResult.Invalid ->
+                arrival.refuse(RefusalReason.INVALID, parsed.message)
+
+            is CompletionParser.ParseResult.Valid -> {
+                val pool = admission.poolOfModel(parsed.model)
+                    ?: return arrival.refuse(
+                        RefusalReason.UNKNOWN_POOL,
+                        "no model is named ${parsed.model}"
+                    )
+                admit(arrival, pool, parsed.work)
+            }
+        }
+    }
+
+    private suspend fun callService(arrival: Arrival) {
+        val name = arrival.call.parameters["pool"].orEmpty()
+        val (poolId, pool) = admission.servicePool(name)
+            ?: return arrival.refuse(RefusalReason.UNKNOWN_POOL, "no service is named $name")
+        val path = "/" + arrival.call.parameters.getAll("path").orEmpty().joinToString("/")
+        val method = arrival.call.request.httpMethod.value
+        val operation = pool.operations.find { it.matches(method, path) }
+            ?: return arrival.refuse(RefusalReason.UNKNOWN_POOL, "no operation is $method $path")
+        if (!operation.repeatable && arrival.call.request.header(Headers.IDEMPOTENCY_KEY) == null) {
+            val message = "${operation.name} runs only once and needs an ${Headers.IDEMPOTENCY_KEY}"
+            return arrival.refuse(RefusalReason.INVALID, message)
+        }
+        admit(arrival, poolId, arrival.serviceWork(operation, method, path))
+    }
+
+    private fun Arrival.serviceWork(operation: Operation, method: String, path: String) = Work.Call(
+        operation = operation.name,
+        method = method,
+        path = path,
+        query = call.request.queryString(),
+        body = text,
+        contentType = call.request.header("Content-Type"),
+        isRepeatable = operation.repeatable
+    )
+
+    private fun Operation.matches(method: String, path: String): Boolean = this.method == method &&
+        if (this.path.endsWith("*")) path.startsWith(this.path.dropLast(1)) else path == this.path
+
+    private suspend fun admit(arrival: Arrival, pool: PoolId, work: Work) {
+        val result = with(arrival) { admission.admit(call, id, caller, pool, work, span) }
+        when (result) {
+            is Admission.AdmitResult.Refused -> arrival.refuse(result.reason, result.message)
+            is Admission.AdmitResult.Admitted -> serve(arrival.call, result.request)
+        }
+    }
+
+    private suspend fun serve(call: ApplicationCall, request: CallerRequest) {
+        val isStreamed = (request.work as? Work.Completion)?.isStreamed == true
+        val end = if (isStreamed) stream(call, request) else answer(call, request)
+        metrics.onEnd(request.policy.tier, end.verdict, clock.nowMs() - request.arrivedAtMs)
+        (end.verdict as? Verdict.NotRun)?.let { refusals.add(it.reason) }
+    }
+
+    private suspend fun answer(call: ApplicationCall, request: CallerRequest): RequestEnd {
+        val end = run(request) {}
+        call.respondEnd(request.id, end)
+        return end
+    }
+
+    /**
+     * Runs [request]. Commands and keyed requests go on when their caller leaves, so that a retry
+     * finds the answer; other work is cancelled.
+     */
+    private suspend fun run(
+        request: CallerRequest,
+        emit: suspend (StreamEvent) -> Unit
+    ): RequestEnd {
+        val hasKey = request.idempotencyKey != null
+        val isCommand = (request.work as? Work.Call)?.isRepeatable == false
+        if (!hasKey && !isCommand) return flow.run(request, Long.MAX_VALUE, emit)
+        gate.hold()
+        return scope.async {
+            try {
+                if (hasKey) {
+                    keyed.run(request) { flow.run(request, it, emit) }
+                } else {
+                    flow.run(request, Long.MAX_VALUE, emit)
+                }
+            } finally {
+                gate.leave()
+            }
+        }.await()
+    }
+
+    private suspend fun stream(call: ApplicationCall, request: CallerRequest): RequestEnd =
+        coroutineScope {
+            val isDetached = request.idempotencyKey != null
+            val events = Channel<StreamEvent>(if (isDetached) Channel.UNLIMITED else EVENT_BUFFER)
+            val work = async {
+                try {
+                    run(request) { event ->
+                        if (isDetached) events.trySend(event) else events.send(event)
+                    }
+                } finally {
+                    events.close()
+                }
+            }
+            val first = events.receiveCatching().getOrNull()
+            if (first == null) {
+                work.await().also { respondUnstreamed(call, request.id, it) }
+            } else {
+                call.verdictHeaders(request.id, Verdict.Ran)
+                call.respondBytesWriter(ContentType.Text.EventStream) {
+                    writeEvent(first.data)
+                    for (event in events) writeEvent(event.data)
+                    writeEnd(request.id, work.await())
+                }
+                work.await()
+            }
+        }
+
+    private suspend fun respondUnstreamed(call: ApplicationCall, id: RequestId, end: RequestEnd) {
+        val answer = end.answer ?: return call.respondEnd(id, end)
+        call.verdictHeaders(id, end.verdict)
+        if (end.isReplayed) call.response.header("X-Replayed", "true")
+        call.respondBytesWriter(ContentType.Text.EventStream) {
+            writeEvent(KeptAnswers.asChunk(answer))
+            writeEvent(DONE)
+        }
+    }
+
+    private suspend fun ByteWriteChannel.writeEvent(data: String) {
+        writeStringUtf8("data: $data\n\n")
+        flush()
+    }
+
+    private suspend fun ByteWriteChannel.writeEnd(id: RequestId, end: RequestEnd) {
+        if (end.verdict is Verdict.Ran) return writeEvent(DONE)
+        writeStringUtf8("event: error\n")
+        writeEvent(errorBody(id, end.verdict, "the answer is not complete"))
+    }
+
+    private suspend fun Arrival.refuse(reason: RefusalReason, message: String) {
+        metrics.onEnd(null, Verdict.NotRun(reason), 0)
+        refusals.add(reason)
+        call.respondRefusal(id, reason, message)
+    }
+
+    private class Arrival(
+        val call: ApplicationCall,
+        val id: RequestId,
+        val caller: CallerId,
+        val text: String,
+        val span: Span
+    )
+
+    private companion object {
+        const val DONE = "[DONE]"
+        const val EVENT_BUFFER = 256
+        const val GATE_RETRY_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/Headers.kt
@@ -0,0 +1,11 @@
+package org.bronzetide.node.entry
+
+/** The headers of callers' requests and answers, beside the standard ones. */
+internal object Headers {
+    const val REQUEST_ID = "X-Request-Id"
+    const val VERDICT = "X-Verdict"
+    const val REASON = "X-Verdict-Reason"
+    const val TIER = "X-Tier"
+    const val DEADLINE_MS = "X-Deadline-Ms"
+    const val IDEMPOTENCY_KEY = "Idempotency-Key"
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/KeptAnswers.kt
@@ -0,0 +1,23 @@
+package org.bronzetide.node.entry
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import org.bronzetide.coordination.KeptAnswer
+import org.bronzetide.model.Jsons
+
+/** Turns answers that were kept whole into events of a stream. */
+internal object KeptAnswers {
+    /** A completion as the single chunk of a stream. */
+    fun asChunk(answer: KeptAnswer): String {
+        val completion = Jsons.wire.parseToJsonElement(answer.body).jsonObject
+        val choices = completion.getValue("choices").jsonArray.map { choice ->
+            val fields = choice.jsonObject
+            JsonObject(fields - "message" + ("delta" to fields.getValue("message")))
+        }
+        val kind = "object" to JsonPrimitive("chat.completion.chunk")
+        return JsonObject(completion + kind + ("choices" to JsonArray(choices))).toString()
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/KeyedRun.kt
@@ -0,0 +1,107 @@
+package org.bronzetide.node.entry
+
+import java.util.UUID
+import kotlinx.coroutines.delay
+import org.bronzetide.coordination.ClaimReply
+import org.bronzetide.coordination.KeyAuthority
+import org.bronzetide.coordination.KeyClaim
+import org.bronzetide.coordination.KeyOutcome
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.coordination.Verdict
+import org.bronzetide.node.keys.KeyService
+
+/** Runs requests with an idempotency key at most once, and answers their retries. */
+internal class KeyedRun(
+    private val self: NodeId,
+    private val keys: KeyService,
+    private val clock: MonotonicClock
+) {
+    /**
+     * Runs [block] if [request]'s key can be claimed, and tells the authority how it ended. [block]
+     * gets the time up to which the claim may be used.
+     */
+    suspend fun run(request: CallerRequest, block: suspend (Long) -> RequestEnd): RequestEnd {
+        val claim = KeyClaim(
+            key = "${request.caller}/${request.idempotencyKey}",
+            fingerprint = KeyDigest.of("${request.poolId}\n${request.work.identity()}"),
+            claimant = self,
+            attempt = UUID.randomUUID().toString()
+        )
+        val waitUntilMs = minOf(request.deadlineAtMs, clock.nowMs() + MAX_WAIT_MS)
+        while (true) {
+            val askedAtMs = clock.nowMs()
+            when (val reply = keys.claim(claim)) {
+                is ClaimReply.Granted -> return runClaimed(claim, askedAtMs + CLAIM_VALID_MS, block)
+
+                is ClaimReply.Held -> if (!mayWait(reply, waitUntilMs)) return held(reply)
+
+                is ClaimReply.Forgotten -> return RequestEnd(
+                    Verdict.MayHaveRun("this attempt did not run; an earlier one may have")
+                )
+
+                is ClaimReply.Unavailable -> {
+                    keys.end(claim, outcome = null)
+                    if (clock.nowMs() >= waitUntilMs) return unavailable()
+                }
+            }
+            delay(POLL_MS)
+        }
+    }
+
+    private suspend fun runClaimed(
+        claim: KeyClaim,
+        validUntilMs: Long,
+        block: suspend (Long) -> RequestEnd
+    ): RequestEnd {
+        var end: RequestEnd? = null
+        try {
+            return block(validUntilMs).also { end = it }
+        } finally {
+            keys.end(claim, outcome(end))
+        }
+    }
+
+    private fun outcome(end: RequestEnd?): KeyOutcome.Finished? {
+        val verdict = end?.verdict ?: Verdict.MayHaveRun("the attempt broke off")
+        if (verdict is Verdict.NotRun) return null
+        val kept = end?.answer?.takeIf { it.body.length <= MAX_KEPT_CHARS }
+        return KeyOutcome.Finished(verdict, kept)
+    }
+
+    private fun mayWait(reply: ClaimReply.Held, waitUntilMs: Long): Boolean =
+        reply.fingerprintMatches &&
+            reply.outcome is KeyOutcome.Pending &&
+            clock.nowMs() < waitUntilMs
+
+    private fun held(reply: ClaimReply.Held): RequestEnd {
+        if (!reply.fingerprintMatches) return RequestEnd(Verdict.NotRun(RefusalReason.KEY_REUSED))
+        return when (val outcome = reply.outcome) {
+            is KeyOutcome.Pending -> RequestEnd(
+                Verdict.MayHaveRun("an earlier attempt is in progress"),
+                isInProgress = true
+            )
+
+            is KeyOutcome.Finished -> RequestEnd(outcome.verdict, outcome.answer, isReplayed = true)
+        }
+    }
+
+    private fun unavailable() = RequestEnd(
+        Verdict.NotRun(RefusalReason.KEY_AUTHORITY),
+        retryAfterMs = RETRY_MS
+    )
+
+    private fun Work.identity(): String = when (this) {
+        is Work.Completion -> body.toString()
+        is Work.Call -> "$method $path?$query\n$body"
+    }
+
+    private companion object {
+        const val CLAIM_VALID_MS = KeyAuthority.DEFAULT_MEMORY_MS / 2
+        const val MAX_WAIT_MS = 3_000L
+        const val POLL_MS = 100L
+        const val RETRY_MS = 2_000L
+        const val MAX_KEPT_CHARS = 32_000
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestGate.kt
@@ -0,0 +1,38 @@
+package org.bronzetide.node.entry
+
+import java.util.concurrent.atomic.AtomicInteger
+import org.bronzetide.coordination.RefusalReason
+
+/** Counts the requests inside the node and closes for new ones when the node stops. */
+internal class RequestGate(private val isReady: () -> Boolean) {
+    private val inside = AtomicInteger()
+
+    @Volatile
+    private var isClosed = false
+
+    /** The requests that have entered and not left. */
+    val count: Int get() = inside.get()
+
+    /** Lets a request in, or says why not. */
+    fun enter(): RefusalReason? {
+        inside.incrementAndGet()
+        if (!isClosed && isReady()) return null
+        inside.decrementAndGet()
+        return RefusalReason.UNAVAILABLE
+    }
+
+    /** Counts work that goes on after its request has left. */
+    fun hold() {
+        inside.incrementAndGet()
+    }
+
+    /** Ends a request that entered, or work that was held. */
+    fun leave() {
+        inside.decrementAndGet()
+    }
+
+    /** Lets no further request in. */
+    fun close() {
+        isClosed = true
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/KeyService.kt
@@ -0,0 +1,150 @@
+package org.bronzetide.node.keys
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.coordination.ClaimReply
+import org.bronzetide.coordination.KeyAuthority
+import org.bronzetide.coordination.KeyClaim
+import org.bronzetide.coordination.KeyOutcome
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.OwnershipMap
+import org.bronzetide.node.ControlLoop
+import org.bronzetide.node.peer.PeerMessage
+
+/**
+ * Claims idempotency keys for requests that entered here, and serves the claims of the slots that
+ * this node owns. State lives on the control thread.
+ */
+internal class KeyService(
+    self: NodeId,
+    private val control: ControlLoop,
+    clock: MonotonicClock,
+    private val send: (NodeId, PeerMessage) -> Unit
+) {
+    private val authority = KeyAuthority(self, clock)
+    private val claims = HashMap<Long, CompletableDeferred<ClaimReply>>()
+    private val replicas = HashMap<Long, (Boolean) -> Unit>()
+    private var map = OwnershipMap()
+    private var nextCall = 1L
+
+    /** The number of keys remembered here. */
+    val size: Int get() = authority.size
+
+    /**
+     * Asks for the right to run the command of [claim]. A reply that does not arrive in time counts
+     * as [ClaimReply.Unavailable], and a grant that arrives later is not used.
+     */
+    suspend fun claim(claim: KeyClaim): ClaimReply {
+        val reply = CompletableDeferred<ClaimReply>()
+        val call = control.call { sendClaim(claim, reply) }
+        val result = withTimeoutOrNull(CLAIM_TIMEOUT_MS) { reply.await() }
+        control.post { claims.remove(call) }
+        return result ?: ClaimReply.Unavailable
+    }
+
+    /** Tells the authority how the command ended; without [outcome] it surely did not run. */
+    fun end(claim: KeyClaim, outcome: KeyOutcome.Finished?) = control.post {
+        val slot = map.slotOf(claim.key)?.let { map.slots[it] } ?: return@post
+        val message = PeerMessage.KeyEnded(claim.key, claim.attempt, outcome)
+        send(slot.owner, message)
+        if (outcome == null) slot.successor?.let { send(it, message) }
+    }
+
+    fun onMap(next: OwnershipMap) {
+        map = next
+        authority.onMap(next)
+        transfer()
+    }
+
+    fun onClaimCall(from: NodeId, message: PeerMessage.ClaimCall) {
+        when (val step = authority.claim(message.claim)) {
+            is KeyAuthority.Step.Reply -> send(
+                from,
+                PeerMessage.ClaimAnswer(message.call, step.reply)
+            )
+
+            is KeyAuthority.Step.Replicate -> replicate(step.to, step.message) { isAccepted ->
+                val reply = authority.onReplicated(step.message, isAccepted)
+                send(from, PeerMessage.ClaimAnswer(message.call, reply))
+            }
+        }
+    }
+
+    fun onClaimAnswer(message: PeerMessage.ClaimAnswer) {
+        claims.remove(message.call)?.complete(message.reply)
+    }
+
+    fun onReplicateCall(from: NodeId, message: PeerMessage.ReplicateCall) {
+        val isAccepted = authority.acceptReplica(message.replicate)
+        send(from, PeerMessage.ReplicaAnswer(message.call, isAccepted))
+    }
+
+    fun onTransferCall(from: NodeId, message: PeerMessage.TransferCall) {
+        val isAccepted = authority.acceptTransfer(message.transfer)
+        send(from, PeerMessage.ReplicaAnswer(message.call, isAccepted))
+    }
+
+    fun onReplicaAnswer(message: PeerMessage.ReplicaAnswer) {
+        replicas.remove(message.call)?.invoke(message.isAccepted)
+    }
+
+    fun onKeyEnded(message: PeerMessage.KeyEnded) {
+        val outcome = message.outcome
+        if (outcome == null) {
+            authority.withdraw(message.key, message.attempt)
+            return
+        }
+        val replica = authority.finish(message.key, message.attempt, outcome) ?: return
+        val slot = map.slotOf(message.key)?.let { map.slots[it] } ?: return
+        slot.successor?.let { replicate(it, replica) {} }
+    }
+
+    /** Sends memory to new successors and forgets old keys; called from time to time. */
+    fun maintain() {
+        authority.expire()
+        transfer()
+    }
+
+    private fun sendClaim(claim: KeyClaim, reply: CompletableDeferred<ClaimReply>): Long {
+        val call = nextCall++
+        val owner = map.slotOf(claim.key)?.let { map.slots[it].owner }
+        if (owner == null) {
+            reply.complete(ClaimReply.Unavailable)
+        } else {
+            claims[call] = reply
+            send(owner, PeerMessage.ClaimCall(call, claim))
+        }
+        return call
+    }
+
+    private fun replicate(
+        to: NodeId?,
+        replicate: KeyAuthority.Replicate,
+        onAnswer: (Boolean) -> Unit
+    ) {
+        if (to == null) return onAnswer(true)
+        val call = awaitAnswer(onAnswer)
+        send(to, PeerMessage.ReplicateCall(call, replicate))
+    }
+
+    private fun transfer() {
+        authority.pendingTransfers().forEach { successor ->
+            val transfer = authority.transferTo(successor) ?: return@forEach
+            val call = awaitAnswer { if (it) authority.onTransferred(successor, transfer) }
+            send(successor, PeerMessage.TransferCall(call, transfer))
+        }
+    }
+
+    private fun awaitAnswer(onAnswer: (Boolean) -> Unit): Long {
+        val call = nextCall++
+        replicas[call] = onAnswer
+        control.timers.after(REPLICA_TIMEOUT_MS) { replicas.remove(call)?.invoke(false) }
+        return call
+    }
+
+    private companion object {
+        const val CLAIM_TIMEOUT_MS = 1_500L
+        const val REPLICA_TIMEOUT_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/OwnershipKeeper.kt
@@ -0,0 +1,97 @@
+package org.bronzetide.node.keys
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.bronzetide.coordination.Backoff
+import org.bronzetide.coordination.Document
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.OwnershipMap
+import org.bronzetide.coordination.OwnershipPlanner
+import org.bronzetide.model.Jsons
+import org.bronzetide.node.ControlLoop
+import org.bronzetide.node.documents.toDocument
+import org.bronzetide.node.documents.toOwnershipMap
+import org.bronzetide.platform.ConditionalUpdate
+import org.bronzetide.platform.ObjectStore
+import org.bronzetide.platform.ReadResult
+
+/** Keeps the ownership map in step with the members, by conditional updates of one object. */
+internal class OwnershipKeeper(
+    private val self: NodeId,
+    private val slotCount: Int,
+    private val store: ObjectStore,
+    private val control: ControlLoop,
+    private val members: () -> List<Member>,
+    private val current: () -> Document,
+    private val offer: (Document) -> Unit
+) {
+    private val backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS, Random(self.hashCode()))
+    private val updates = ConditionalUpdate(store) { delay(backoff.nextMs()) }
+
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                if (step()) backoff.reset() else delay(backoff.nextMs())
+                delay(CHECK_MS)
+            }
+        }
+    }
+
+    /** Changes the map where this node should, and returns whether nothing stood in the way. */
+    suspend fun step(): Boolean {
+        val (document, next) = control.call { current().let { it to plan(it) } }
+        if (next == null) return true
+        if (document.version == 0L && !readAhead()) return false
+        val text = Jsons.wire.encodeToString(OwnershipMap.serializer(), next)
+        return when (val result = updates.write(KEY, text, document.version)) {
+            is ConditionalUpdate.Result.Done -> {
+                control.call { offer(next.toDocument(result.version)) }
+                true
+            }
+
+            else -> {
+                readAhead()
+                false
+            }
+        }
+    }
+
+    private fun plan(document: Document): OwnershipMap? {
+        val view = members()
+        val eligible = view.filter { it.state == MemberState.ALIVE }.map { it.id }.toSet()
+        if (document.version == 0L) {
+            return OwnershipMap.initial(slotCount, eligible.sorted()).takeIf { self in eligible }
+        }
+        val map = document.toOwnershipMap()
+        val known = view.map { it.id }.toSet()
+        val named = map.slots.flatMap { listOfNotNull(it.owner, it.successor) }.toSet()
+        val dead =
+            view.filter { it.state == MemberState.DEAD }.map { it.id }.toSet() + (named - known)
+        val suspected = view.filter { it.state == MemberState.SUSPECT }.map { it.id }.toSet()
+        return OwnershipPlanner(self, eligible, dead + suspected, dead).plan(map)
+    }
+
+    /** Reads the map from the store; returns whether the store has none. */
+    private suspend fun readAhead(): Boolean = when (val read = store.read(KEY)) {
+        is ReadResult.Found -> {
+            val map = Jsons.wire.decodeFromString(OwnershipMap.serializer(), read.stored.value)
+            control.call { offer(map.toDocument(read.stored.version)) }
+            false
+        }
+
+        is ReadResult.Missing -> true
+
+        else -> false
+    }
+
+    private companion object {
+        const val KEY = "bronzetide/ownership"
+        const val CHECK_MS = 300L
+        const val FIRST_RETRY_MS = 100L
+        const val MAX_RETRY_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/ledger/Invoices.kt
@@ -0,0 +1,74 @@
+package org.bronzetide.node.ledger
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.serialization.Serializable
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.LedgerLine
+import org.bronzetide.platform.ListResult
+import org.bronzetide.platform.ObjectStore
+import org.bronzetide.platform.ReadResult
+
+/** A caller's bill: its lines, their totals, and what may be missing. */
+@Serializable
+data class Invoice(
+    val caller: CallerId,
+    val lines: List<LedgerLine>,
+    val totals: Totals,
+    /** Processes that ended without closing their ledger; their last lines may be missing. */
+    val unclosedNodes: List<NodeId>,
+    /** Batches that could not be read now. */
+    val unreadBatches: Int
+) {
+    /** Sums over the lines of an invoice. */
+    @Serializable
+    data class Totals(val requests: Int, val promptTokens: Long, val outputTokens: Long)
+}
+
+/** Makes invoices from the ledger in the store. */
+internal class Invoices(private val store: ObjectStore, private val isLive: (NodeId) -> Boolean) {
+    /** The invoice of [caller], or `null` if the store does not answer. */
+    suspend fun of(caller: CallerId): Invoice? {
+        val keys = when (val listed = store.list(LEDGER_PREFIX)) {
+            is ListResult.Keys -> listed.keys
+            is ListResult.Unavailable -> return null
+        }
+        val batches = keys.chunked(CONCURRENT_READS).flatMap { readAll(it) }
+        val found = batches.filterNotNull()
+        val lines = found.flatMap { it.lines }.filter { it.caller == caller }
+            .sortedBy { it.dispatchedAtMs }
+        return Invoice(caller, lines, totals(lines), unclosed(found), batches.count { it == null })
+    }
+
+    private suspend fun readAll(keys: List<String>): List<LedgerBatch?> = coroutineScope {
+        keys.map { async { read(it) } }.awaitAll()
+    }
+
+    private suspend fun read(key: String): LedgerBatch? {
+        repeat(READ_TRIES) {
+            val result = store.read(key)
+            if (result is ReadResult.Found) {
+                return Jsons.wire.decodeFromString(LedgerBatch.serializer(), result.stored.value)
+            }
+        }
+        return null
+    }
+
+    private fun unclosed(batches: List<LedgerBatch>): List<NodeId> = batches.groupBy { it.node }
+        .filter { (node, own) -> own.none { it.isLast } && !isLive(node) }
+        .keys.sorted()
+
+    private fun totals(lines: List<LedgerLine>) = Invoice.Totals(
+        requests = lines.size,
+        promptTokens = lines.sumOf { it.promptTokens.toLong() },
+        outputTokens = lines.sumOf { it.outputTokens.toLong() }
+    )
+
+    private companion object {
+        const val CONCURRENT_READS = 16
+        const val READ_TRIES = 3
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/ledger/LedgerWriter.kt
@@ -0,0 +1,118 @@
+package org.bronzetide.node.ledger
+
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.Serializable
+import org.bronzetide.coordination.Backoff
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.LedgerLine
+import org.bronzetide.platform.ObjectStore
+import org.bronzetide.platform.WriteResult
+
+/** The store's prefix of ledger batches. */
+internal const val LEDGER_PREFIX = "bronzetide/ledger/"
+
+/** Some lines of one node's process, in the order of their ends. */
+@Serializable
+internal data class LedgerBatch(
+    val node: NodeId,
+    val sequence: Int,
+    val lines: List<LedgerLine>,
+    /** Whether the process closed its ledger with this batch: no line is missing after it. */
+    val isLast: Boolean = false
+)
+
+/**
+ * Writes ledger lines to the store in batches.
+ *
+ * A batch is an object of its own, named by the node's process and a sequence number and created
+ * only if absent, so that a write that is repeated after a lost answer cannot double a line. While
+ * the store is away lines are kept in memory; from [maxBuffered] lines on the node refuses work.
+ */
+internal class LedgerWriter(
+    private val self: NodeId,
+    private val store: ObjectStore,
+    private val flushMs: Long,
+    private val maxBuffered: Int
+) {
+    private val waiting = ConcurrentLinkedQueue<LedgerLine>()
+    private val waitingCount = AtomicInteger()
+    private val flushing = Mutex()
+    private val backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS)
+    private var sequence = 0
+    private var unwritten: LedgerBatch? = null
+
+    /** The lines that are not in the store yet. */
+    val bufferedCount: Int get() = waitingCount.get()
+
+    /** Whether the buffer is full, so that no further work may be billed. */
+    val isFull: Boolean get() = bufferedCount >= maxBuffered
+
+    fun add(line: LedgerLine) {
+        waiting += line
+        waitingCount.incrementAndGet()
+    }
+
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                delay(flushMs)
+                if (!flush()) delay(backoff.nextMs())
+            }
+        }
+    }
+
+    /** Writes what waits, and returns whether all of it is stored. */
+    suspend fun flush(): Boolean = flushing.withLock {
+        while (true) {
+            val batch = unwritten ?: nextBatch() ?: break
+            unwritten = batch
+            if (!write(batch)) return false
+            unwritten = null
+            waitingCount.addAndGet(-batch.lines.size)
+        }
+        backoff.reset()
+        true
+    }
+
+    /** Writes what waits and closes the process's ledger; tries until [tries] writes failed. */
+    suspend fun close(tries: Int = CLOSE_TRIES): Boolean {
+        repeat(tries) {
+            val isClosed = flush() && writeLast()
+            if (isClosed) return true
+            delay(backoff.nextMs())
+        }
+        return false
+    }
+
+    private suspend fun writeLast(): Boolean = flushing.withLock {
+        sequence == 0 || write(LedgerBatch(self, sequence, emptyList(), isLast = true))
+    }
+
+    private fun nextBatch(): LedgerBatch? {
+        val lines = generateSequence { waiting.poll() }.take(MAX_LINES).toList()
+        return if (lines.isEmpty()) null else LedgerBatch(self, sequence++, lines)
+    }
+
+    private suspend fun write(batch: LedgerBatch): Boolean {
+        val key = LEDGER_PREFIX + "${batch.node}/${batch.sequence.toString().padStart(8, '0')}"
+        val text = Jsons.wire.encodeToString(LedgerBatch.serializer(), batch)
+        return when (store.write(key, text, expectedVersion = 0)) {
+            is WriteResult.Written, is WriteResult.Conflict -> true
+            is WriteResult.Refused, is WriteResult.Unknown -> false
+        }
+    }
+
+    private companion object {
+        const val MAX_LINES = 1_500
+        const val FIRST_RETRY_MS = 200L
+        const val MAX_RETRY_MS = 3_000L
+        const val CLOSE_TRIES = 20
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/ConfigurationService.kt
@@ -0,0 +1,130 @@
+package org.bronzetide.node.operator
+
+import java.util.UUID
+import kotlin.random.Random
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
+import org.bronzetide.coordination.Backoff
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.ConfirmResult
+import org.bronzetide.model.Fault
+import org.bronzetide.model.Intent
+import org.bronzetide.model.IntentValidator
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.Plan
+import org.bronzetide.model.Planner
+import org.bronzetide.model.StructureChecker
+import org.bronzetide.node.documents.CONFIG_KEY
+import org.bronzetide.platform.ConditionalUpdate
+import org.bronzetide.platform.ObjectStore
+import org.bronzetide.platform.ReadResult
+
+/** Plans intents and confirms plans, by conditional updates of the configuration object. */
+internal class ConfigurationService(
+    private val store: ObjectStore,
+    private val current: () -> Configuration,
+    private val onConfirmed: suspend (Configuration) -> Unit
+) {
+    private val backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS, Random.Default)
+    private val updates = ConditionalUpdate(store) { delay(backoff.nextMs()) }
+
+    /** The plan for the intent in [text], JSON with comments, or every fault of it. */
+    fun plan(text: String): PlanAnswer {
+        val element: JsonElement = try {
+            Jsons.settings.parseToJsonElement(text)
+        } catch (cause: SerializationException) {
+            val message = cause.message.orEmpty().lineSequence().first()
+            return PlanAnswer(faults = listOf(Fault("intent", message)))
+        }
+        val structure = StructureChecker.faults(element, Intent.serializer().descriptor)
+        if (structure.isNotEmpty()) return PlanAnswer(faults = structure)
+        val intent = Jsons.settings.decodeFromJsonElement(Intent.serializer(), element)
+        val base = current()
+        val faults = IntentValidator.faults(intent, base)
+        if (faults.isNotEmpty()) return PlanAnswer(faults = faults)
+        return PlanAnswer(plan = Planner.plan(intent, base, UUID.randomUUID().toString()))
+    }
+
+    /** Makes [plan] take effect, unless objects that it touches changed. */
+    suspend fun confirm(plan: Plan): ConfirmAnswer {
+        backoff.reset()
+        repeat(MAX_TRIES) {
+            val (base, storeVersion) = readBase() ?: return ConfirmAnswer.unavailable()
+            when (val result = Planner.apply(plan, base)) {
+                is ConfirmResult.Applied -> write(result.configuration, storeVersion)?.let {
+                    return it
+                }
+
+                is ConfirmResult.AlreadyDone -> {
+                    onConfirmed(base)
+                    return ConfirmAnswer("already-done", result.version)
+                }
+
+                is ConfirmResult.Conflict ->
+                    return ConfirmAnswer(
+                        "conflict",
+                        result.version,
+                        differences = result.differences
+                    )
+
+                is ConfirmResult.Invalid -> return ConfirmAnswer("invalid", faults = result.faults)
+            }
+            delay(backoff.nextMs())
+        }
+        return ConfirmAnswer.unavailable()
+    }
+
+    private suspend fun readBase(): Pair<Configuration, Long>? =
+        when (val read = store.read(CONFIG_KEY)) {
+            is ReadResult.Found ->
+                Jsons.wire.decodeFromString(Configuration.serializer(), read.stored.value) to
+                    read.stored.version
+
+            is ReadResult.Missing -> Configuration() to 0L
+
+            else -> null
+        }
+
+    /** Returns the answer, or `null` if another change came first and the plan must be rebased. */
+    private suspend fun write(next: Configuration, storeVersion: Long): ConfirmAnswer? {
+        val text = Jsons.wire.encodeToString(Configuration.serializer(), next)
+        return when (val result = updates.write(CONFIG_KEY, text, storeVersion)) {
+            is ConditionalUpdate.Result.Done -> {
+                onConfirmed(next)
+                ConfirmAnswer("confirmed", next.version)
+            }
+
+            is ConditionalUpdate.Result.Conflict, is ConditionalUpdate.Result.NotDone -> null
+
+            is ConditionalUpdate.Result.Unknown -> ConfirmAnswer("unknown", next.version)
+        }
+    }
+
+    private companion object {
+        const val FIRST_RETRY_MS = 50L
+        const val MAX_RETRY_MS = 1_000L
+        const val MAX_TRIES = 20
+    }
+}
+
+/** A plan, or the faults for which there is none. */
+@Serializable
+data class PlanAnswer(val plan: Plan? = null, val faults: List<Fault> = emptyList())
+
+/** What became of a confirmed plan. */
+@Serializable
+data class ConfirmAnswer(
+    /** `confirmed`, `already-done`, `conflict`, `invalid`, `unavailable` or `unknown`. */
+    val result: String,
+    val version: Long = 0,
+    /** For a conflict: what the plan was made on, and what is there now. */
+    val differences: List<Plan.Change> = emptyList(),
+    val faults: List<Fault> = emptyList()
+) {
+    companion object {
+        /** The store did not answer; nothing was changed by this call. */
+        fun unavailable() = ConfirmAnswer("unavailable")
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/NodeStatus.kt
@@ -0,0 +1,53 @@
+package org.bronzetide.node.operator
+
+import kotlinx.serialization.Serializable
+
+/** What a node says of itself to operators. */
+@Serializable
+data class NodeStatus(
+    val node: String,
+    val zone: String,
+    val isReady: Boolean,
+    val configurationVersion: Long,
+    val hostListRevision: Long,
+    val ownershipVersion: Long,
+    val requestsInside: Int,
+    val ledgerBuffered: Int,
+    val keysRemembered: Int,
+    val pools: List<PoolStatus>,
+    val members: List<MemberStatus>,
+    val recentRefusals: List<RecentRefusal>
+)
+
+/** A pool shard whose arbiter runs on the node. */
+@Serializable
+data class PoolStatus(
+    val pool: String,
+    val shard: Int,
+    val running: Int,
+    /** Waiting requests by tier, the most urgent first. */
+    val queuedByTier: List<Int>,
+    val targets: List<TargetStatus>
+)
+
+/** A target as its arbiter sees it. */
+@Serializable
+data class TargetStatus(
+    val target: String,
+    val inFlight: Int,
+    val limit: Int,
+    val isEjected: Boolean,
+    val isLeaving: Boolean
+)
+
+/** A member as the node sees it. */
+@Serializable
+data class MemberStatus(val node: String, val zone: String, val state: String)
+
+/** How often a reason was given lately. */
+@Serializable
+data class RecentRefusal(val reason: String, val count: Int)
+
+/** The status of every node that answered, and those that did not. */
+@Serializable
+data class ClusterStatus(val nodes: List<NodeStatus>, val silentNodes: List<String>)
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/OperatorRoutes.kt
@@ -0,0 +1,118 @@
+package org.bronzetide.node.operator
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.Configuration
+import org.bronzetide.model.Fault
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.Plan
+import org.bronzetide.node.entry.BodyReader
+import org.bronzetide.node.entry.KeyDigest
+import org.bronzetide.node.ledger.Invoice
+import org.bronzetide.node.ledger.Invoices
+
+/** The operators' HTTP interface, below `/operator/v1`. */
+internal class OperatorRoutes(
+    private val keyDigests: List<String>,
+    private val bodies: BodyReader,
+    private val configurations: ConfigurationService,
+    private val current: () -> Configuration,
+    private val status: StatusService,
+    private val invoices: Invoices
+) {
+    fun install(routes: Route) {
+        routes.post("/operator/v1/plan") { authorized(call) { plan(call) } }
+        routes.post("/operator/v1/confirm") { authorized(call) { confirm(call) } }
+        routes.get("/operator/v1/configuration") {
+            authorized(call) { call.respond(Configuration.serializer(), current()) }
+        }
+        routes.get("/operator/v1/status") {
+            authorized(call) { call.respond(ClusterStatus.serializer(), status.cluster()) }
+        }
+        routes.get("/operator/v1/invoices/{caller}") { authorized(call) { invoice(call) } }
+    }
+
+    private suspend fun authorized(call: ApplicationCall, block: suspend () -> Unit) {
+        val bearer = call.request.header(HttpHeaders.Authorization).orEmpty()
+        val digest = KeyDigest.of(bearer.removePrefix("Bearer "))
+        if (keyDigests.count { KeyDigest.matches(it, digest) } > 0) return block()
+        call.respondFault(
+            HttpStatusCode.Unauthorized,
+            Fault("Authorization", "is not an operator's key")
+        )
+    }
+
+    private suspend fun plan(call: ApplicationCall) {
+        val text = textOf(call) ?: return
+        val answer = configurations.plan(text)
+        val status = if (answer.plan ==
+            null
+        ) {
+            HttpStatusCode.UnprocessableEntity
+        } else {
+            HttpStatusCode.OK
+        }
+        call.respond(PlanAnswer.serializer(), answer, status)
+    }
+
+    private suspend fun confirm(call: ApplicationCall) {
+        val text = textOf(call) ?: return
+        val plan = try {
+            Jsons.wire.decodeFromString(Plan.serializer(), text)
+        } catch (cause: SerializationException) {
+            val message = cause.message.orEmpty().lineSequence().first()
+            return call.respondFault(HttpStatusCode.BadRequest, Fault("plan", message))
+        }
+        val answer = configurations.confirm(plan)
+        call.respond(ConfirmAnswer.serializer(), answer, statusOf(answer))
+    }
+
+    private fun statusOf(answer: ConfirmAnswer): HttpStatusCode = when (answer.result) {
+        "confirmed", "already-done" -> HttpStatusCode.OK
+        "conflict" -> HttpStatusCode.Conflict
+        "invalid" -> HttpStatusCode.UnprocessableEntity
+        else -> HttpStatusCode.ServiceUnavailable
+    }
+
+    private suspend fun invoice(call: ApplicationCall) {
+        val invoice = invoices.of(CallerId(call.parameters["caller"].orEmpty()))
+        if (invoice == null) {
+            val fault = Fault("invoice", "the platform's store does not answer")
+            return call.respondFault(HttpStatusCode.ServiceUnavailable, fault)
+        }
+        call.respond(Invoice.serializer(), invoice)
+    }
+
+    private suspend fun textOf(call: ApplicationCall): String? {
+        val body = bodies.read(call)
+        if (body is BodyReader.BodyResult.Text) return body.text
+        call.respondFault(
+            HttpStatusCode.BadRequest,
+            Fault("body", "is too large, too slow or not UTF-8")
+        )
+        return null
+    }
+
+    private suspend fun ApplicationCall.respondFault(status: HttpStatusCode, fault: Fault) =
+        respond(PlanAnswer.serializer(), PlanAnswer(faults = listOf(fault)), status)
+
+    private suspend fun <T> ApplicationCall.respond(
+        serializer: KSerializer<T>,
+        value: T,
+        status: HttpStatusCode = HttpStatusCode.OK
+    ) = respondText(
+        Jsons.wire.encodeToString(serializer, value),
+        ContentType.Application.Json,
+        status
+    )
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/StatusService.kt
@@ -0,0 +1,58 @@
+package org.bronzetide.node.operator
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.model.Jsons
+import org.bronzetide.node.ControlLoop
+import org.bronzetide.node.peer.PeerMessage
+
+/** Gathers the status of all nodes. */
+internal class StatusService(
+    private val self: NodeId,
+    private val control: ControlLoop,
+    private val members: () -> List<Member>,
+    private val ownStatus: () -> NodeStatus,
+    private val send: (NodeId, PeerMessage) -> Unit
+) {
+    private val calls = HashMap<Long, CompletableDeferred<NodeStatus>>()
+    private var nextCall = 1L
+
+    /** The status of every node that answers within [ANSWER_TIMEOUT_MS]. */
+    suspend fun cluster(): ClusterStatus {
+        val asked = control.call { ask() }
+        val answers = ArrayList<NodeStatus>()
+        withTimeoutOrNull(ANSWER_TIMEOUT_MS) {
+            asked.forEach { (_, _, answer) -> answers += answer.await() }
+        }
+        val late = asked.filter { (_, node, answer) -> node != self && !answer.isCompleted }
+        control.post { asked.forEach { (call, _, _) -> calls.remove(call) } }
+        val all = asked.filter { it.third.isCompleted }.map { it.third.await() }
+        return ClusterStatus(all.sortedBy { it.node }, late.map { it.second.value })
+    }
+
+    fun onCall(from: NodeId, message: PeerMessage.StatusCall) {
+        val json = Jsons.wire.encodeToString(NodeStatus.serializer(), ownStatus())
+        send(from, PeerMessage.StatusAnswer(message.call, json))
+    }
+
+    fun onAnswer(message: PeerMessage.StatusAnswer) {
+        val status = Jsons.wire.decodeFromString(NodeStatus.serializer(), message.json)
+        calls.remove(message.call)?.complete(status)
+    }
+
+    private fun ask(): List<Triple<Long, NodeId, CompletableDeferred<NodeStatus>>> =
+        members().filter { it.state != MemberState.DEAD }.map { member ->
+            val answer = CompletableDeferred<NodeStatus>()
+            val call = nextCall++
+            calls[call] = answer
+            send(member.id, PeerMessage.StatusCall(call))
+            Triple(call, member.id, answer)
+        }
+
+    private companion object {
+        const val ANSWER_TIMEOUT_MS = 800L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/LocalTurns.kt
@@ -0,0 +1,104 @@
+package org.bronzetide.node.turns
+
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.model.PoolId
+import org.bronzetide.model.TargetId
+import org.bronzetide.node.ControlLoop
+import org.bronzetide.platform.TargetHost
+import org.bronzetide.scheduling.Release
+
+/**
+ * A baseline for experiments: the node alone, first in first out, with its share of each target's
+ * concurrency. Targets are taken in turn, or by their last load report.
+ */
+internal class LocalTurns(
+    private val control: ControlLoop,
+    private val clock: MonotonicClock,
+    private val targetsOf: (PoolId) -> List<TargetHost>,
+    private val share: (PoolId) -> Int,
+    private val maxQueued: (PoolId) -> Int,
+    private val reportedLoad: ((TargetId) -> Int)?
+) : TurnSource {
+    private val queues = HashMap<PoolId, ArrayDeque<Waiting>>()
+    private val inFlight = HashMap<TargetId, Int>()
+    private val sequences = AtomicLong()
+    private var turn = 0
+
+    override suspend fun acquire(request: TurnRequest): TurnResult {
+        val waiting = Waiting(request)
+        control.call { enqueue(waiting) }
+        try {
+            return waiting.result.await()
+        } catch (cause: CancellationException) {
+            control.post { abandon(waiting) }
+            throw cause
+        }
+    }
+
+    override fun release(turn: Turn, release: Release) = control.post {
+        inFlight.merge(turn.target, -1, Int::plus)
+        serve(turn.shard.pool)
+    }
+
+    /** Refuses what waited past its deadline. */
+    fun expire() = queues.keys.toList().forEach { serve(it) }
+
+    private fun enqueue(waiting: Waiting) {
+        val pool = waiting.request.pool
+        val queue = queues.getOrPut(pool) { ArrayDeque() }
+        if (queue.size >= maxQueued(pool)) {
+            waiting.result.complete(TurnResult.Refused(RefusalReason.SHED, RETRY_MS))
+        } else {
+            queue.addLast(waiting)
+            serve(pool)
+        }
+    }
+
+    private fun abandon(waiting: Waiting) {
+        queues[waiting.request.pool]?.remove(waiting)
+        waiting.turn?.let {
+            inFlight.merge(it.target, -1, Int::plus)
+            serve(it.shard.pool)
+        }
+    }
+
+    private fun serve(pool: PoolId) {
+        val queue = queues[pool] ?: return
+        while (queue.isNotEmpty()) {
+            val next = queue.first()
+            if (next.request.deadlineAtMs < clock.nowMs()) {
+                next.result.complete(TurnResult.Refused(RefusalReason.DEADLINE, RETRY_MS))
+            } else {
+                val target = choose(pool, next.request.avoid) ?: return
+                inFlight.merge(target, 1, Int::plus)
+                val turn = Turn(PoolShard(pool), sequences.incrementAndGet(), target)
+                next.turn = turn
+                next.result.complete(TurnResult.Granted(turn))
+            }
+            queue.removeFirst()
+        }
+    }
+
+    private fun choose(pool: PoolId, avoid: Set<TargetId>): TargetId? {
+        val usable = targetsOf(pool).filter { !it.isLeaving }.map { TargetId(it.id) }
+            .filter { it !in avoid && inFlight.getOrDefault(it, 0) < share(pool) }
+        if (usable.isEmpty()) return null
+        val load = reportedLoad
+        turn++
+        val rotated = usable.indices.map { usable[(it + turn) % usable.size] }
+        return if (load == null) rotated.first() else rotated.minBy { load(it) }
+    }
+
+    private class Waiting(val request: TurnRequest) {
+        val result = CompletableDeferred<TurnResult>()
+        var turn: Turn? = null
+    }
+
+    private companion object {
+        const val RETRY_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/TurnSource.kt
@@ -0,0 +1,43 @@
+package org.bronzetide.node.turns
+
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.PoolId
+import org.bronzetide.model.RequestPolicy
+import org.bronzetide.model.TargetId
+import org.bronzetide.scheduling.Release
+
+/** Decides when and where a request may be dispatched. */
+internal interface TurnSource {
+    /** Waits for a turn. A cancelled wait gives the turn back. */
+    suspend fun acquire(request: TurnRequest): TurnResult
+
+    /** Ends a granted turn; called once for each. */
+    fun release(turn: Turn, release: Release)
+}
+
+/** What a turn is asked for. */
+internal data class TurnRequest(
+    val pool: PoolId,
+    val caller: CallerId,
+    val operation: String,
+    val policy: RequestPolicy,
+    val promptTokens: Int,
+    val maxOutputTokens: Int,
+    val prefixHash: Long,
+    /** The time by which the answer must be complete, on the node's clock. */
+    val deadlineAtMs: Long,
+    val avoid: Set<TargetId> = emptySet()
+)
+
+/** A granted turn: the request may be dispatched once, to [target]. */
+internal data class Turn(val shard: PoolShard, val sequence: Long, val target: TargetId)
+
+/** The outcome of asking for a turn. */
+internal sealed class TurnResult {
+    /** The request may be dispatched. */
+    data class Granted(val turn: Turn) : TurnResult()
+
+    /** The request is refused and did not run. */
+    data class Refused(val reason: RefusalReason, val retryAfterMs: Long) : TurnResult()
+}
--- /dev/null
+++ b/bronzetide-platform/src/main/kotlin/org/bronzetide/platform/ObjectStore.kt
@@ -0,0 +1,57 @@
+package org.bronzetide.platform
+
+import org.bronzetide.coordination.Versioned
+
+/** The platform's Object API: named values with versions, changed by conditional update. */
+public interface ObjectStore {
+    /** Reads [key]. */
+    public suspend fun read(key: String): ReadResult
+
+    /** Waits at most [waitMs] milliseconds until [key] is newer than [afterVersion]; reads it. */
+    public suspend fun watch(key: String, afterVersion: Long, waitMs: Long): ReadResult
+
+    /** Writes [key] if its version is still [expectedVersion]; 0 stands for an absent object. */
+    public suspend fun write(key: String, value: String, expectedVersion: Long): WriteResult
+
+    /** The keys that start with [prefix], in order. */
+    public suspend fun list(prefix: String): ListResult
+}
+
+/** The result of a read or a watch. */
+public sealed class ReadResult {
+    /** The object as it is now. */
+    public data class Found(val stored: Versioned<String>) : ReadResult()
+
+    /** There is no such object. */
+    public data object Missing : ReadResult()
+
+    /** A watch ended without a change. */
+    public data object Unchanged : ReadResult()
+
+    /** The store did not answer, or refused for its rate; [detail] says which. */
+    public data class Unavailable(val detail: String) : ReadResult()
+}
+
+/** The result of a conditional write. */
+public sealed class WriteResult {
+    /** The write took effect as [version]. */
+    public data class Written(val version: Long) : WriteResult()
+
+    /** The object had another version; the write did not take effect. */
+    public data object Conflict : WriteResult()
+
+    /** The store refused the write; it did not take effect. */
+    public data class Refused(val detail: String) : WriteResult()
+
+    /** The answer was lost; the write may have taken effect. */
+    public data class Unknown(val detail: String) : WriteResult()
+}
+
+/** The result of a listing. */
+public sealed class ListResult {
+    /** The keys found. */
+    public data class Keys(val keys: List<String>) : ListResult()
+
+    /** The store did not answer; [detail] says why. */
+    public data class Unavailable(val detail: String) : ListResult()
+}
--- /dev/null
+++ b/bronzetide-platform/src/main/kotlin/org/bronzetide/platform/PlatformClients.kt
@@ -0,0 +1,31 @@
+package org.bronzetide.platform
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.HttpTimeout
+
+/** Makes the HTTP clients that the system uses towards the platform and the targets. */
+public object PlatformClients {
+    /** A client with [connectTimeoutMs] to connect; each call sets its own request timeout. */
+    public fun create(connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS): HttpClient =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            install(HttpTimeout) { connectTimeoutMillis = connectTimeoutMs }
+            engine {
+                maxConnectionsCount = MAX_CONNECTIONS
+                requestTimeout = 0
+                endpoint {
+                    maxConnectionsPerRoute = MAX_CONNECTIONS
+                    connectAttempts = 1
+                    connectTimeout = connectTimeoutMs
+                }
+            }
+        }
+
+    /** The time within which a connection must be made, in milliseconds. */
+    public const val DEFAULT_CONNECT_TIMEOUT_MS: Long = 1_000
+
+    private const val MAX_CONNECTIONS = 20_000
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/CallerLimiter.kt
@@ -0,0 +1,67 @@
+package org.bronzetide.scheduling
+
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.CallerLimits
+
+/** Holds callers to their limits on requests, tokens and concurrency in one pool shard. */
+public class CallerLimiter {
+    private val usages = HashMap<CallerId, Usage>()
+
+    /**
+     * Admits a request of [tokens] estimated tokens and returns `null`, or returns the time in
+     * milliseconds after which the limit that it would exceed may have room.
+     */
+    public fun admit(caller: CallerId, limits: CallerLimits, tokens: Double, nowMs: Long): Long? {
+        val usage = usages.getOrPut(caller) { Usage() }
+        usage.follow(limits, nowMs)
+        if (limits.concurrent != null && usage.concurrent >= limits.concurrent!!) {
+            return CONCURRENCY_RETRY_MS
+        }
+        val waitMs = maxOf(
+            usage.requests?.waitMs(1.0, nowMs) ?: 0,
+            usage.tokens?.waitMs(tokens, nowMs) ?: 0
+        )
+        if (waitMs > 0) return waitMs
+        usage.requests?.tryTake(1.0, nowMs)
+        usage.tokens?.tryTake(tokens, nowMs)
+        usage.concurrent++
+        return null
+    }
+
+    /** Counts a request that an earlier arbiter admitted. */
+    public fun readmit(caller: CallerId) {
+        usages.getOrPut(caller) { Usage() }.concurrent++
+    }
+
+    /** Ends a request and corrects its charge by [excessTokens] (true minus estimated). */
+    public fun end(caller: CallerId, excessTokens: Double, nowMs: Long) {
+        val usage = usages[caller] ?: return
+        usage.concurrent--
+        usage.tokens?.correct(excessTokens, nowMs)
+        if (usage.concurrent == 0 && usage.isUnlimited) usages.remove(caller)
+    }
+
+    private class Usage {
+        var concurrent = 0
+        var requests: TokenBucket? = null
+        var tokens: TokenBucket? = null
+
+        val isUnlimited: Boolean get() = requests == null && tokens == null
+
+        fun follow(limits: CallerLimits, nowMs: Long) {
+            requests = requests.follow(limits.requestsPerSecond, nowMs)
+            tokens = tokens.follow(limits.tokensPerSecond, nowMs)
+        }
+
+        private fun TokenBucket?.follow(perSecond: Double?, nowMs: Long): TokenBucket? = when {
+            perSecond == null -> null
+            this != null && this.perSecond == perSecond -> this
+            else -> TokenBucket(perSecond, maxOf(1.0, perSecond * BURST_SECONDS), nowMs)
+        }
+    }
+
+    private companion object {
+        const val CONCURRENCY_RETRY_MS = 1_000L
+        const val BURST_SECONDS = 2.0
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/OutputEstimator.kt
@@ -0,0 +1,45 @@
+package org.bronzetide.scheduling
+
+import org.bronzetide.model.CallerId
+
+/** Estimates how many tokens a request will generate, from finished ones of the same kind. */
+public class OutputEstimator(private val isLearning: Boolean = true) {
+    private val byCaller = HashMap<Pair<CallerId, String>, Average>()
+    private val byOperation = HashMap<String, Average>()
+
+    /** The expected output of [ticket] in tokens, at least 1 and at most what it allows. */
+    public fun expectedTokens(ticket: Ticket): Int {
+        if (!isLearning) return ticket.maxOutputTokens.coerceAtLeast(1)
+        val own = byCaller[ticket.caller to ticket.operation]?.takeIf { it.count >= MIN_SAMPLES }
+        val estimate = own ?: byOperation[ticket.operation]
+        val tokens = estimate?.value ?: (ticket.maxOutputTokens * UNKNOWN_SHARE)
+        return tokens.toInt().coerceIn(1, ticket.maxOutputTokens.coerceAtLeast(1))
+    }
+
+    /** Learns that a request like [ticket] generated [outputTokens]. */
+    public fun learn(ticket: Ticket, outputTokens: Int) {
+        val key = ticket.caller to ticket.operation
+        if (byCaller.size >= MAX_KEYS && key !in byCaller) byCaller.clear()
+        byCaller.getOrPut(key) { Average() }.add(outputTokens.toDouble())
+        byOperation.getOrPut(ticket.operation) { Average() }.add(outputTokens.toDouble())
+    }
+
+    private class Average {
+        var value = 0.0
+            private set
+        var count = 0
+            private set
+
+        fun add(sample: Double) {
+            count++
+            value += (sample - value) * maxOf(GAIN, 1.0 / count)
+        }
+    }
+
+    private companion object {
+        const val GAIN = 0.1
+        const val MIN_SAMPLES = 3
+        const val UNKNOWN_SHARE = 0.5
+        const val MAX_KEYS = 50_000
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
@@ -0,0 +1,192 @@
+package org.bronzetide.scheduling
+
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.RefusalReason
+import org.bronzetide.model.TargetId
+import org.bronzetide.model.Tier
+
+/**
+ * Decides which request of a pool shard is dispatched next, and to which target.
+ *
+ * Every enrolled ticket gets exactly one [Decision], unless it is withdrawn first. A granted ticket
+ * counts against its target until [release]. The scheduler does no I/O, has no clock and no
+ * randomness: the same calls give the same decisions. Single-threaded.
+ *
+ * @sample org.bronzetide.scheduling.poolSchedulerSample
+ */
+public class PoolScheduler(private val policy: PoolPolicy) {
+    private val queue = TicketQueue(policy)
+    private val targets = TargetBook(policy)
+    private val limiter = CallerLimiter()
+    private val estimator = OutputEstimator(Feature.ESTIMATES in policy)
+    private val running = LinkedHashMap<TicketId, Running>()
+
+    /** The number of waiting tickets. */
+    public val queuedCount: Int get() = queue.size
+
+    /** The number of granted tickets that are not released. */
+    public val runningCount: Int get() = running.size
+
+    /** The number of waiting tickets of [tier]. */
+    public fun queuedCount(tier: Tier): Int = queue.sizeOf(tier)
+
+    /** The identifiers of all waiting and running tickets. */
+    public fun ticketIds(): Set<TicketId> = queue.ids() + running.keys
+
+    /** The state of each target, for display. */
+    public fun targetViews(): List<TargetView> = targets.ids().sorted().map {
+        val isLeaving = targets.find(it)?.isLeaving == true
+        TargetView(it, targets.inFlight(it), targets.limitOf(it), targets.isEjected(it), isLeaving)
+    }
+
+    /** Takes the targets that the host list shows. Those missing from [specs] get no new work. */
+    public fun updateTargets(specs: List<TargetSpec>) {
+        targets.update(specs)
+    }
+
+    /** Takes [ticket] and returns the refusals that follow, of it or of what made room for it. */
+    public fun enroll(ticket: Ticket, nowMs: Long): List<Decision> {
+        if (ticket.id in queue || ticket.id in running) return emptyList()
+        val outputTokens = estimator.expectedTokens(ticket)
+        val tokens = (ticket.promptTokens + outputTokens).toDouble()
+        admissionFault(ticket, tokens, nowMs)?.let { return listOf(it) }
+        val latestStartMs = latestStartMs(ticket, outputTokens)
+        if (latestStartMs < nowMs) {
+            limiter.end(ticket.caller, -tokens, nowMs)
+            return listOf(
+                Decision.Refuse(ticket, RefusalReason.DEADLINE, retryAfterMs(ticket.tier))
+            )
+        }
+        val shed = if (queue.size < policy.maxQueued) null else shedFor(ticket, tokens, nowMs)
+        if (shed?.ticket?.id != ticket.id) queue.add(ticket, tokens, latestStartMs, nowMs)
+        return listOfNotNull(shed)
+    }
+
+    /** Forgets a ticket whose request ended before a grant. Returns whether it was waiting. */
+    public fun withdraw(id: TicketId, nowMs: Long): Boolean {
+        val entry = queue.remove(id) ?: return false
+        limiter.end(entry.ticket.caller, -entry.tokens, nowMs)
+        return true
+    }
+
+    /** Ends a granted ticket. Unknown tickets are ignored, so that a repeat has no effect. */
+    public fun release(id: TicketId, release: Release, nowMs: Long) {
+        val run = running.remove(id) ?: return
+        targets.end(run.target, run.predictedMs, release, nowMs)
+        val isMeasured = release.outcome == ReleaseOutcome.FINISHED
+        if (isMeasured) estimator.learn(run.ticket, release.outputTokens)
+        val served = (release.promptTokens + release.outputTokens).toDouble()
+        queue.charge(run.ticket, served - run.tokens)
+        limiter.end(run.ticket.caller, served - run.tokens, nowMs)
+    }
+
+    /** Takes over a ticket that an earlier arbiter granted on [target]. */
+    public fun adopt(ticket: Ticket, target: TargetId, nowMs: Long) {
+        if (ticket.id in running) return
+        if (ticket.id in queue) withdraw(ticket.id, nowMs)
+        limiter.readmit(ticket.caller)
+        start(ticket, targets.find(target), target)
+    }
+
+    /** Drops every ticket of [node] and frees what it held, as when the node died. */
+    public fun dropNode(node: NodeId, nowMs: Long) {
+        ticketIds().filter { it.node == node }.forEach { drop(it, nowMs) }
+    }
+
+    /** Drops one ticket, waiting or running. */
+    public fun drop(id: TicketId, nowMs: Long) {
+        if (!withdraw(id, nowMs)) release(id, Release(ReleaseOutcome.CANCELLED), nowMs)
+    }
+
+    /** Grants all turns that can be granted now, and refuses what can no longer start in time. */
+    public fun decide(nowMs: Long): List<Decision> {
+        targets.readmit(nowMs)
+        val decisions = ArrayList<Decision>()
+        while (true) {
+            val late = queue.expired(nowMs) ?: break
+            decisions += refuseLate(late, nowMs)
+        }
+        while (true) {
+            decisions += grantNext() ?: break
+        }
+        return decisions
+    }
+
+    private fun grantNext(): Decision? =
+        targets.lowestTierWithRoom()?.let { queue.next(it) }?.let { grant(it) }
+
+    private fun admissionFault(ticket: Ticket, tokens: Double, nowMs: Long): Decision? {
+        if (ticket.isRepeated) {
+            limiter.readmit(ticket.caller)
+            return null
+        }
+        val waitMs = limiter.admit(ticket.caller, ticket.limits, tokens, nowMs) ?: return null
+        return Decision.Refuse(ticket, RefusalReason.OVER_LIMIT, waitMs)
+    }
+
+    private fun latestStartMs(ticket: Ticket, outputTokens: Int): Long {
+        if (Feature.FEASIBILITY !in policy) return ticket.deadlineAtMs
+        return ticket.deadlineAtMs - targets.typicalMs(ticket.promptTokens, outputTokens).toLong()
+    }
+
+    private fun shedFor(ticket: Ticket, tokens: Double, nowMs: Long): Decision.Refuse {
+        val victim = queue.victimFor(ticket, tokens)
+        if (victim != null) {
+            withdraw(victim.ticket.id, nowMs)
+        } else {
+            limiter.end(ticket.caller, -tokens, nowMs)
+        }
+        val shed = victim?.ticket ?: ticket
+        return Decision.Refuse(shed, RefusalReason.SHED, retryAfterMs(shed.tier))
+    }
+
+    private fun refuseLate(entry: QueuedTicket, nowMs: Long): Decision {
+        withdraw(entry.ticket.id, nowMs)
+        val retryMs = retryAfterMs(entry.ticket.tier)
+        return Decision.Refuse(entry.ticket, RefusalReason.DEADLINE, retryMs)
+    }
+
+    private fun grant(entry: QueuedTicket): Decision? {
+        val ticket = entry.ticket
+        val target = targets.choose(ticket, estimator.expectedTokens(ticket)) ?: return null
+        queue.remove(ticket.id)
+        start(ticket, target, target.id)
+        return Decision.Grant(ticket, target.id)
+    }
+
+    private fun start(ticket: Ticket, state: TargetState?, target: TargetId) {
+        val outputTokens = estimator.expectedTokens(ticket)
+        val predictedMs = state?.pace?.predictMs(ticket.promptTokens, outputTokens) ?: 0.0
+        val tokens = (ticket.promptTokens + outputTokens).toDouble()
+        running[ticket.id] = Running(ticket, target, predictedMs, tokens)
+        state?.let { targets.start(it, ticket.prefixHash, predictedMs) }
+        queue.charge(ticket, tokens)
+    }
+
+    private fun retryAfterMs(tier: Tier): Long {
+        val aheadMs = targets.typicalMs(0, queue.tokensAhead(tier).toInt())
+        val waitMs = aheadMs / targets.totalLimit().coerceAtLeast(1)
+        return waitMs.toLong().coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    private class Running(
+        val ticket: Ticket,
+        val target: TargetId,
+        val predictedMs: Double,
+        val tokens: Double
+    )
+
+    /** What is known of one target. */
+    public data class TargetView(
+        val id: TargetId,
+        val inFlight: Int,
+        val limit: Int,
+        val isEjected: Boolean,
+        val isLeaving: Boolean
+    )
+
+    private companion object {
+        const val MIN_RETRY_MS = 200L
+        const val MAX_RETRY_MS = 30_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
@@ -0,0 +1,174 @@
+package org.bronzetide.scheduling
+
+import java.util.TreeSet
+import org.bronzetide.model.TargetId
+import org.bronzetide.model.Tier
+
+/** The targets of a pool shard, those with room ordered by predicted finish. */
+internal class TargetBook(private val policy: PoolPolicy) {
+    private val targets = HashMap<TargetId, TargetState>()
+    private val order = compareBy<TargetState> { it.score }.thenBy { it.order }
+    private val withRoom = TreeSet(order)
+    private val withHeadroom = TreeSet(order)
+    private val ejected = ArrayList<TargetState>()
+    private val affinity = PrefixAffinity()
+    private var nextOrder = 0
+    private var turn = 0L
+
+    val size: Int get() = targets.size
+
+    fun ids(): Set<TargetId> = targets.keys
+
+    fun isEjected(id: TargetId): Boolean = ejected.any { it.id == id }
+
+    fun limitOf(id: TargetId): Int = targets[id]?.limit?.current ?: 0
+
+    fun inFlight(id: TargetId): Int = targets[id]?.inFlight ?: 0
+
+    /** The requests that the targets may run at once. */
+    fun totalLimit(): Int = targets.values.sumOf { if (it.isLeaving) 0 else it.limit.current }
+
+    fun update(specs: List<TargetSpec>) {
+        val listed = specs.associateBy { it.id }
+        targets.values.filter { it.id !in listed }.forEach { remove(it) }
+        specs.forEach { spec ->
+            val state = targets.getOrPut(spec.id) { newState(spec.id) }
+            reorder(state) { state.isLeaving = spec.isLeaving }
+        }
+    }
+
+    /** Brings back the targets whose ejection ended. */
+    fun readmit(nowMs: Long) {
+        if (ejected.isEmpty()) return
+        val back = ejected.filter { it.ejectedUntilMs <= nowMs }
+        ejected.removeAll(back)
+        back.forEach { reorder(it) {} }
+    }
+
+    /** Whether any target has room for a ticket of [tier]. */
+    fun hasRoom(tier: Tier): Boolean = roomFor(tier).isNotEmpty()
+
+    /** The lowest tier that some target has room for, or `null` if all are full. */
+    fun lowestTierWithRoom(): Tier? = when {
+        withHeadroom.isNotEmpty() -> Tier(Tier.LEAST_URGENT)
+        withRoom.isNotEmpty() -> lowestReserved
+        else -> null
+    }
+
+    /** The target with room on which [ticket] is predicted to finish first, or `null`. */
+    fun choose(ticket: Ticket, outputTokens: Int): TargetState? {
+        val room = roomFor(ticket.tier)
+        if (room.isEmpty()) return null
+        val best = room.firstOrNull { it.id !in ticket.avoid } ?: room.first()
+        val cached = affinity.targetOf(ticket.prefixHash)?.let { targets[it] }
+        val usesCache = Feature.PREFIX_AFFINITY in policy &&
+            cached != null &&
+            cached in room &&
+            cached.id !in ticket.avoid &&
+            isWorthWaiting(cached, best, ticket, outputTokens)
+        return if (usesCache) cached else best
+    }
+
+    fun start(target: TargetState, prefixHash: Long, predictedMs: Double) {
+        affinity.remember(prefixHash, target.id)
+        reorder(target) { target.start(predictedMs) }
+    }
+
+    fun find(id: TargetId): TargetState? = targets[id]
+
+    fun end(id: TargetId, predictedMs: Double, release: Release, nowMs: Long) {
+        val target = targets[id] ?: return
+        reorder(target) {
+            target.end(predictedMs)
+            learn(target, release, nowMs)
+        }
+    }
+
+    /** The least time that [promptTokens] and [outputTokens] take on a typical target. */
+    fun typicalMs(promptTokens: Int, outputTokens: Int): Double =
+        typical?.pace?.predictMs(promptTokens, outputTokens) ?: 0.0
+
+    private var typical: TargetState? = null
+
+    private fun newState(id: TargetId): TargetState {
+        val state = TargetState(id, nextOrder++, policy)
+        typical?.let { state.pace.copyFrom(it.pace) }
+        return state
+    }
+
+    private fun learn(target: TargetState, release: Release, nowMs: Long) {
+        when (release.outcome) {
+            ReleaseOutcome.FINISHED -> {
+                target.onSuccess()
+                target.pace.learn(release)
+                target.limit.onSample(Pace.betweenTokensMs(release), target.inFlight)
+                if (isTypical(target)) typical = target
+            }
+
+            ReleaseOutcome.FAILED, ReleaseOutcome.UNREACHABLE ->
+                if (target.onFailure() && mayEject()) eject(target, nowMs)
+
+            ReleaseOutcome.CANCELLED -> Unit
+        }
+    }
+
+    private fun isTypical(target: TargetState): Boolean {
+        val known = typical ?: return true
+        return known === target || target.pace.decodeMsPerToken <= known.pace.decodeMsPerToken
+    }
+
+    private fun mayEject(): Boolean =
+        Feature.EJECTION in policy && (ejected.size + 1) * 2 <= targets.size
+
+    private fun eject(target: TargetState, nowMs: Long) {
+        target.eject(nowMs)
+        if (target !in ejected) ejected.add(target)
+    }
+
+    private fun remove(state: TargetState) {
+        targets.remove(state.id)
+        withRoom.remove(state)
+        withHeadroom.remove(state)
+        ejected.remove(state)
+        if (typical === state) typical = targets.values.maxByOrNull { it.pace.samples }
+    }
+
+    private fun roomFor(tier: Tier) = if (tier <= lowestReserved) withRoom else withHeadroom
+
+    private fun isWorthWaiting(
+        cached: TargetState,
+        best: TargetState,
+        ticket: Ticket,
+        outputTokens: Int
+    ): Boolean {
+        val savedMs = ticket.promptTokens * cached.pace.prefillMsPerToken
+        val cachedMs = cached.score + cached.pace.predictMs(0, outputTokens)
+        val bestMs = best.score + best.pace.predictMs(0, outputTokens) + savedMs
+        return cachedMs <= bestMs
+    }
+
+    private inline fun reorder(target: TargetState, change: () -> Unit) {
+        withRoom.remove(target)
+        withHeadroom.remove(target)
+        change()
+        target.refreshScore(if (Feature.PREDICTED_FINISH in policy) null else turn++)
+        if (target.isLeaving || target in ejected) return
+        val limit = target.limit.current
+        if (target.inFlight < limit) withRoom.add(target)
+        if (target.inFlight < limit - headroom(limit)) withHeadroom.add(target)
+    }
+
+    private fun headroom(limit: Int): Int = if (Feature.HEADROOM in policy &&
+        limit >= MIN_LIMIT_FOR_HEADROOM
+    ) {
+        limit / HEADROOM_DIVISOR
+    } else {
+        0
+    }
+
+    private companion object {
+        const val MIN_LIMIT_FOR_HEADROOM = 4
+        const val HEADROOM_DIVISOR = 4
+        val lowestReserved = Tier(2)
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
@@ -0,0 +1,109 @@
+package org.bronzetide.scheduling
+
+import org.bronzetide.model.TargetId
+
+/** What the scheduler counts and learns of one target. */
+internal class TargetState(val id: TargetId, val order: Int, policy: PoolPolicy) {
+    val limit = ConcurrencyLimit(
+        policy.concurrencyPerTarget,
+        policy.betweenTokensMs,
+        Feature.ADAPTIVE_LIMIT in policy
+    )
+    val pace = Pace()
+    var isLeaving = false
+    var ejectedUntilMs = 0L
+    var inFlight = 0
+        private set
+
+    /** The predicted time of the requests in flight if each ran alone, in milliseconds. */
+    var outstandingMs = 0.0
+        private set
+    private var failuresInRow = 0
+    private var ejections = 0
+
+    /** Orders targets by predicted finish; fixed while the target stands in an ordered set. */
+    var score = 0.0
+
+    fun refreshScore(turn: Long?) {
+        score = turn?.toDouble() ?: ((outstandingMs + pace.typicalMs) / limit.current)
+    }
+
+    fun start(predictedMs: Double) {
+        inFlight++
+        outstandingMs += predictedMs
+    }
+
+    fun end(predictedMs: Double) {
+        inFlight--
+        outstandingMs = if (inFlight == 0) 0.0 else maxOf(0.0, outstandingMs - predictedMs)
+    }
+
+    /** Counts a failure and says whether the target should be ejected. */
+    fun onFailure(): Boolean = ++failuresInRow >= FAILURES_TO_EJECT
+
+    fun onSuccess() {
+        failuresInRow = 0
+        ejections = 0
+    }
+
+    fun eject(nowMs: Long) {
+        val backoff = EJECTION_MS shl ejections.coerceAtMost(MAX_BACKOFF_DOUBLINGS)
+        ejectedUntilMs = nowMs + backoff
+        ejections++
+        failuresInRow = FAILURES_TO_EJECT - 1
+        limit.restart()
+    }
+
+    private companion object {
+        const val FAILURES_TO_EJECT = 3
+        const val EJECTION_MS = 1_000L
+        const val MAX_BACKOFF_DOUBLINGS = 4
+    }
+}
+
+/** A target's measured speed. */
+internal class Pace {
+    var prefillMsPerToken = INITIAL_PREFILL_MS
+        private set
+    var decodeMsPerToken = INITIAL_DECODE_MS
+        private set
+    var typicalMs = 0.0
+        private set
+    var samples = 0
+        private set
+
+    fun predictMs(promptTokens: Int, outputTokens: Int): Double =
+        promptTokens * prefillMsPerToken + outputTokens * decodeMsPerToken
+
+    fun learn(release: Release) {
+        val gain = maxOf(GAIN, 1.0 / ++samples)
+        val prefill = release.firstTokenMs.toDouble() / release.promptTokens.coerceAtLeast(1)
+        if (release.promptTokens >=
+            MIN_PROMPT
+        ) {
+            prefillMsPerToken += (prefill - prefillMsPerToken) * gain
+        }
+        decodeMsPerToken += (betweenTokensMs(release) - decodeMsPerToken) * gain
+        typicalMs += (release.durationMs - typicalMs) * gain
+    }
+
+    /** Starts from the speed of a peer. */
+    fun copyFrom(peer: Pace) {
+        prefillMsPerToken = peer.prefillMsPerToken
+        decodeMsPerToken = peer.decodeMsPerToken
+        typicalMs = peer.typicalMs
+    }
+
+    companion object {
+        private const val INITIAL_PREFILL_MS = 0.2
+        private const val INITIAL_DECODE_MS = 5.0
+        private const val GAIN = 0.1
+        private const val MIN_PROMPT = 16
+
+        fun betweenTokensMs(release: Release): Double = if (release.outputTokens > 1) {
+            (release.durationMs - release.firstTokenMs).toDouble() / (release.outputTokens - 1)
+        } else {
+            release.durationMs.toDouble()
+        }
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TicketQueue.kt
@@ -0,0 +1,78 @@
+package org.bronzetide.scheduling
+
+import java.util.TreeSet
+import org.bronzetide.model.Tier
+
+/** The waiting tickets of a pool shard: tiers in strict order, bounded, with latest start times. */
+internal class TicketQueue(private val policy: PoolPolicy) {
+    private val tiers = Tier.all.map { FairQueue(Feature.FAIRNESS in policy) }
+    private val entries = HashMap<TicketId, QueuedTicket>()
+    private val byLatestStart =
+        TreeSet(compareBy<QueuedTicket> { it.latestStartMs }.thenBy { it.sequence })
+    private var nextSequence = 0L
+
+    val size: Int get() = entries.size
+
+    operator fun contains(id: TicketId): Boolean = id in entries
+
+    fun ids(): Set<TicketId> = entries.keys
+
+    fun sizeOf(tier: Tier): Int = tiers[tier.level - 1].size
+
+    /** The tokens that wait in [tier] and the tiers above it. */
+    fun tokensAhead(tier: Tier): Double = (0 until tier.level).sumOf { tiers[it].queuedTokens }
+
+    fun add(ticket: Ticket, tokens: Double, latestStartMs: Long, nowMs: Long) {
+        val entry = QueuedTicket(ticket, nextSequence++, tokens, latestStartMs, nowMs)
+        entries[ticket.id] = entry
+        byLatestStart.add(entry)
+        queueOf(ticket).add(entry.sequence, entry)
+    }
+
+    fun remove(id: TicketId): QueuedTicket? {
+        val entry = entries.remove(id) ?: return null
+        byLatestStart.remove(entry)
+        queueOf(entry.ticket).remove(entry.sequence, entry)
+        return entry
+    }
+
+    /** The next ticket to serve among the tiers down to [lowest], or `null`. */
+    fun next(lowest: Tier): QueuedTicket? {
+        for (level in 0 until lowest.level) tiers[level].next()?.let { return it }
+        return null
+    }
+
+    /** A waiting ticket that cannot start in time any more, or `null`. */
+    fun expired(nowMs: Long): QueuedTicket? =
+        byLatestStart.firstOrNull()?.takeIf { it.latestStartMs < nowMs }
+
+    /**
+     * The ticket to shed so that [arriving] finds room, or `null` if [arriving] itself should go.
+     *
+     * The lowest tier goes first; within it the newest ticket of the caller with the largest
+     * backlog.
+     */
+    fun victimFor(arriving: Ticket, tokens: Double): QueuedTicket? {
+        val queue = tiers.lastOrNull { it.size > 0 } ?: return null
+        val victim = queue.firstToShed() ?: return null
+        if (Feature.TIERS !in policy) return null
+        return when {
+            victim.ticket.tier > arriving.tier -> victim
+
+            victim.ticket.tier < arriving.tier -> null
+
+            victim.ticket.caller == arriving.caller -> null
+
+            else -> victim.takeIf {
+                val own = queue.backlogOf(arriving) + tokens / arriving.weight
+                own < queue.backlogOf(victim.ticket)
+            }
+        }
+    }
+
+    /** Charges [tokens] served to [ticket]'s caller. */
+    fun charge(ticket: Ticket, tokens: Double) = queueOf(ticket).charge(ticket, tokens)
+
+    private fun queueOf(ticket: Ticket): FairQueue =
+        if (Feature.TIERS in policy) tiers[ticket.tier.level - 1] else tiers[0]
+}
--- /dev/null
+++ b/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/ServiceStandIn.kt
@@ -0,0 +1,42 @@
+package org.bronzetide.standins
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.route
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.delay
+
+/** Plays a plain service: it answers each call after [answerMs] milliseconds and counts it. */
+class ServiceStandIn(private val answerMs: Long = 2, port: Int = 0) : AutoCloseable {
+    private val server = StandInServer(port) {
+        route("{path...}") { handle { answer(call) } }
+    }
+
+    /** How often each request id was received. */
+    val received = ConcurrentHashMap<String, Int>()
+
+    /** How often each body was executed, for commands that carry their own identity. */
+    val executed = ConcurrentHashMap<String, Int>()
+
+    /** The base URL. */
+    val url: String get() = server.url
+
+    /** The port that the service listens on. */
+    val port: Int get() = server.port
+
+    override fun close() = server.close()
+
+    private suspend fun answer(call: ApplicationCall) {
+        val body = call.receiveText()
+        received.merge(call.request.header("X-Request-Id").orEmpty(), 1, Int::plus)
+        if (body.isNotEmpty()) executed.merge(body, 1, Int::plus)
+        delay(answerMs)
+        val text = """{"done":"${call.request.httpMethod.value} ${call.request.path()}"}"""
+        call.respondText(text, io.ktor.http.ContentType.Application.Json, HttpStatusCode.OK)
+    }
+}
