--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -53,7 +53,11 @@
         found.filter { it.id !in members && it.id != self.id }.forEach { apply(it) }
     }
 
-    /** Starts one round: times out old probes, ages suspicions, and returns the probes to send. */
+    /**
+     * Starts one round: times out old probes, ages suspicions, and returns the probes to send.
+     *
+     * A probe that is not acknowledged is repeated every round until its time is up.
+     */
     public fun tick(): List<Outgoing> {
         val nowMs = clock.nowMs()
         val wasPaused = nowMs - lastTickMs > timing.periodMs * PAUSE_PERIODS
@@ -62,7 +66,7 @@
         expireProbes(nowMs)
         expireSuspicions(nowMs)
         forgetDead(nowMs)
-        return nextTargets().map { target ->
+        return (pending.keys + nextTargets()).map { target ->
             pending.putIfAbsent(target, nowMs)
             Outgoing(target, Probe(self, rumorsToSend()))
         }
--- /dev/null
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/OwnershipPlannerTest.kt
@@ -0,0 +1,54 @@
+package org.bronzetide.coordination
+
+import net.jqwik.api.Example
+
+class OwnershipPlannerTest {
+    private val a = NodeId("a")
+    private val b = NodeId("b")
+    private val c = NodeId("c")
+    private val map = OwnershipMap(listOf(OwnershipMap.Slot(a, b, epoch = 1)))
+
+    @Example
+    fun `nothing changes while owner and successor are well`() {
+        check(planner(a).plan(map) == null)
+        check(planner(c).plan(map) == null)
+    }
+
+    @Example
+    fun `the successor takes over from an unreachable owner`() {
+        val slot = planner(b, unreachable = setOf(a)).plan(map)!!.slots.single()
+        check(slot.owner == b && slot.successor == c && slot.epoch == 2L)
+    }
+
+    @Example
+    fun `a third node does not interfere while the successor lives`() {
+        check(planner(c, unreachable = setOf(a), dead = setOf(a)).plan(map) == null)
+    }
+
+    @Example
+    fun `a third node takes a slot only when owner and successor are dead`() {
+        val both = setOf(a, b)
+        check(planner(c, unreachable = both).plan(map) == null)
+        val slot = planner(c, unreachable = both, dead = both).plan(map)!!.slots.single()
+        check(slot.owner == c && slot.successor == null)
+    }
+
+    @Example
+    fun `a leaving owner hands over to its successor`() {
+        val planner = OwnershipPlanner(a, setOf(b, c), emptySet(), emptySet())
+        val slot = planner.plan(map)!!.slots.single()
+        check(slot.owner == b && slot.successor == c)
+    }
+
+    @Example
+    fun `an owner replaces an unreachable successor`() {
+        val slot = planner(a, unreachable = setOf(b)).plan(map)!!.slots.single()
+        check(slot.owner == a && slot.successor == c)
+    }
+
+    private fun planner(
+        self: NodeId,
+        unreachable: Set<NodeId> = emptySet(),
+        dead: Set<NodeId> = emptySet()
+    ) = OwnershipPlanner(self, setOf(a, b, c) - unreachable, unreachable, dead)
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
@@ -33,6 +33,9 @@
     /** The identifiers of all waiting and running tickets. */
     public fun ticketIds(): Set<TicketId> = queue.ids() + running.keys
 
+    /** The identifiers of the granted tickets that are not released. */
+    public fun runningIds(): Set<TicketId> = running.keys
+
     /** The state of each target, for display. */
     public fun targetViews(): List<TargetView> = targets.ids().sorted().map {
         val isLeaving = targets.find(it)?.isLeaving == true
@@ -85,7 +88,7 @@
         if (ticket.id in running) return
         if (ticket.id in queue) withdraw(ticket.id, nowMs)
         limiter.readmit(ticket.caller)
-        start(ticket, targets.find(target), target)
+        start(ticket, targets.findOrKeep(target))
     }
 
     /** Drops every ticket of [node] and frees what it held, as when the node died. */
@@ -150,16 +153,16 @@
         val ticket = entry.ticket
         val target = targets.choose(ticket, estimator.expectedTokens(ticket)) ?: return null
         queue.remove(ticket.id)
-        start(ticket, target, target.id)
+        start(ticket, target)
         return Decision.Grant(ticket, target.id)
     }
 
-    private fun start(ticket: Ticket, state: TargetState?, target: TargetId) {
+    private fun start(ticket: Ticket, target: TargetState) {
         val outputTokens = estimator.expectedTokens(ticket)
-        val predictedMs = state?.pace?.predictMs(ticket.promptTokens, outputTokens) ?: 0.0
+        val predictedMs = target.pace.predictMs(ticket.promptTokens, outputTokens)
         val tokens = (ticket.promptTokens + outputTokens).toDouble()
-        running[ticket.id] = Running(ticket, target, predictedMs, tokens)
-        state?.let { targets.start(it, ticket.prefixHash, predictedMs) }
+        running[ticket.id] = Running(ticket, target.id, predictedMs, tokens)
+        targets.start(target, ticket.prefixHash, predictedMs)
         queue.charge(ticket, tokens)
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
@@ -30,13 +30,20 @@
 
     fun update(specs: List<TargetSpec>) {
         val listed = specs.associateBy { it.id }
-        targets.values.filter { it.id !in listed }.forEach { remove(it) }
+        targets.values.filter { it.id !in listed }.forEach { unlist(it) }
         specs.forEach { spec ->
             val state = targets.getOrPut(spec.id) { newState(spec.id) }
-            reorder(state) { state.isLeaving = spec.isLeaving }
+            reorder(state) {
+                state.isListed = true
+                state.isLeaving = spec.isLeaving
+            }
         }
     }
 
+    /** The target [id], kept as unlisted if the host list has not shown it. */
+    fun findOrKeep(id: TargetId): TargetState =
+        targets.getOrPut(id) { newState(id).also { it.isListed = false } }
+
     /** Brings back the targets whose ejection ended. */
     fun readmit(nowMs: Long) {
         if (ejected.isEmpty()) return
@@ -82,6 +89,7 @@
             target.end(predictedMs)
             learn(target, release, nowMs)
         }
+        if (!target.isListed && target.inFlight == 0) remove(target)
     }
 
     /** The least time that [promptTokens] and [outputTokens] take on a typical target. */
@@ -125,6 +133,11 @@
         if (target !in ejected) ejected.add(target)
     }
 
+    private fun unlist(state: TargetState) {
+        reorder(state) { state.isListed = false }
+        if (state.inFlight == 0) remove(state)
+    }
+
     private fun remove(state: TargetState) {
         targets.remove(state.id)
         withRoom.remove(state)
@@ -152,7 +165,7 @@
         withHeadroom.remove(target)
         change()
         target.refreshScore(if (Feature.PREDICTED_FINISH in policy) null else turn++)
-        if (target.isLeaving || target in ejected) return
+        if (!target.isListed || target.isLeaving || target in ejected) return
         val limit = target.limit.current
         if (target.inFlight < limit) withRoom.add(target)
         if (target.inFlight < limit - headroom(limit)) withHeadroom.add(target)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
@@ -10,6 +10,9 @@
         Feature.ADAPTIVE_LIMIT in policy
     )
     val pace = Pace()
+
+    /** Whether the host list shows the target; one that it dropped is kept while it has work. */
+    var isListed = true
     var isLeaving = false
     var ejectedUntilMs = 0L
     var inFlight = 0
--- /dev/null
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/CallerLimiterTest.kt
@@ -0,0 +1,38 @@
+package org.bronzetide.scheduling
+
+import net.jqwik.api.Example
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.CallerLimits
+
+class CallerLimiterTest {
+    private val limiter = CallerLimiter()
+    private val caller = CallerId("desk")
+
+    @Example
+    fun `a rate admits its burst and then its pace`() {
+        val limits = CallerLimits(requestsPerSecond = 5.0)
+        val admitted = (0L until 10_000L step 10).count {
+            limiter.admit(caller, limits, 1.0, it) ==
+                null
+        }
+        check(admitted in 58..61) { "$admitted in 10 s at 5 a second with a burst of 10" }
+    }
+
+    @Example
+    fun `concurrency frees with each end`() {
+        val limits = CallerLimits(concurrent = 2)
+        repeat(2) { check(limiter.admit(caller, limits, 1.0, 0) == null) }
+        check(limiter.admit(caller, limits, 1.0, 0) != null)
+        limiter.end(caller, 0.0, 0)
+        check(limiter.admit(caller, limits, 1.0, 0) == null)
+    }
+
+    @Example
+    fun `tokens that were underestimated are charged afterwards`() {
+        val limits = CallerLimits(tokensPerSecond = 100.0)
+        check(limiter.admit(caller, limits, 10.0, 0) == null)
+        limiter.end(caller, 1_000.0, 0)
+        val waitMs = limiter.admit(caller, limits, 10.0, 0)!!
+        check(waitMs in 8_000L..8_500L) { "$waitMs ms" }
+    }
+}
