Bound the prefill backlog of each target and measure it under floods

Cause: under a flood of the lowest tier, engines that admit at once held a dozen 5,000-token prompts each; a label's first token waited for their prefill, whatever our queue did.

Change: the entry node tells the arbiter of the first token; the arbiter counts the prompts that a target has taken and not begun to answer, and gives low tiers a target only below 15% of the pool's first-token time.

Found on the way, each with its cause: the stand-in engine did not publish the last tokens of a sequence that ended between flushes; a new node took members that it had not met for dead and closed their key slots; a leaving owner did not replace a leaving successor; a moved arbiter kept tickets for ever; the nesting check cost a character loop per body.

Tier 4 still runs work that ends late; the estimate of its duration is next.

--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/FleetProfile.kt
@@ -0,0 +1,30 @@
+package org.bronzetide.bench
+
+import org.bronzetide.standins.EngineProfile
+
+/** The engines of an experiment: twelve of unlike speed, run [speedup] times faster than life. */
+internal data class FleetProfile(val speedup: Double, val engineCount: Int = 12) {
+    /** The engines' profiles, in turn fast, middling and slow. */
+    val engines: List<EngineProfile> = List(engineCount) { profile(SPEEDS[it % SPEEDS.size]) }
+
+    /** The engine seconds that the fleet works in a second of its own time. */
+    val engineSecondsPerSecond: Double = List(engineCount) { SPEEDS[it % SPEEDS.size] }.sum()
+
+    private fun profile(speed: Double) = EngineProfile(
+        prefillTokensPerSecond = PREFILL_TOKENS_PER_S * speed,
+        stepMs = STEP_MS / speed,
+        stepMsPerSequence = STEP_MS_PER_SEQUENCE / speed,
+        prefillChunkTokens = 256,
+        speedup = speedup
+    )
+
+    companion object {
+        const val PREFILL_TOKENS_PER_S = 16_000.0
+        const val STEP_MS = 8.0
+        const val STEP_MS_PER_SEQUENCE = 1.0
+
+        /** The time that one token takes of an engine of speed 1 in a batch of sixteen. */
+        const val BATCHED_TOKEN_MS = STEP_MS / 16 + STEP_MS_PER_SEQUENCE
+        private val SPEEDS = listOf(1.0, 0.8, 0.6)
+    }
+}
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/LoadExperiments.kt
@@ -0,0 +1,238 @@
+package org.bronzetide.bench
+
+import kotlinx.coroutines.delay
+import org.bronzetide.cli.DevCluster
+import org.bronzetide.model.ConfigObject
+
+/** The experiments on decisions under load. */
+internal object LoadExperiments {
+    private const val LOAD_MS = 6_000.0
+    private const val STEADY_LOAD = 0.7
+    private const val FLOOD_LOAD = 10.0
+    private val fleet = FleetProfile(speedup = 4.0)
+    private val smallFleet = FleetProfile(speedup = 3.0, engineCount = 6)
+    private val callers = mapOf(
+        "osijek" to 3.0,
+        "vukovar" to 2.0,
+        "desk-a" to 1.0,
+        "desk-b" to 1.0,
+        "desk-c" to 1.0
+    )
+
+    val all = listOf(
+        Experiment("steady", "both users' mix at 70% of capacity", ::steady) { steadyBounds(it) },
+        Experiment(
+            "flood-low",
+            "the lowest tier at 10 times capacity",
+            ::floodLow,
+            ::steady
+        ) { compared ->
+            (1..3).map { tier ->
+                Bound.atMost(
+                    "tier $tier points lost against steady",
+                    1.0,
+                    pointsLost(compared, tier)
+                )
+            }
+        },
+        Experiment(
+            "flood-urgent",
+            "the most urgent tier from one caller at 10 times capacity",
+            ::floodUrgent,
+            { steadyOn(smallFleet, it, urgentRules) }
+        ) { floodUrgentBounds(it) },
+        Experiment(
+            "big-callers",
+            "two callers ask for 20 times the rest",
+            ::bigCallers,
+            ::smallAlone
+        ) {
+            bigCallerBounds(it)
+        },
+        Experiment(
+            "mixed-lengths",
+            "1 in 20 requests is 100 times longer",
+            ::mixedLengths,
+            ::shortOnly
+        ) {
+            mixedBounds(it)
+        },
+        Experiment(
+            "slow-engine",
+            "a third of the targets at a quarter of their speed, midway",
+            ::slowEngine,
+            ::slowReference
+        ) {
+            slowBounds(it)
+        }
+    )
+
+    fun steady(seed: Long): Scenario = steadyOn(fleet, seed)
+
+    private fun steadyOn(
+        fleet: FleetProfile,
+        seed: Long,
+        rules: Map<String, ConfigObject.RuleObject> = emptyMap()
+    ) = Scenario(
+        fleet,
+        Workload(
+            seed,
+            fleet
+        ).stream(RequestKind.mix, STEADY_LOAD, callers, 0.0, LOAD_MS).arrivals(),
+        rules
+    )
+
+    private fun steadyBounds(compared: Experiment.Comparison): List<Bound> {
+        val report = compared.ours.report
+        val tiers = (1..3).map { tier ->
+            Bound.atLeast("tier $tier in time", 0.995, share(compared.ours, tier))
+        }
+        val wasted = report.wastedPrefillTokens.toDouble() / report.prefillTokens.coerceAtLeast(1)
+        return tiers + Bound.atMost("wasted prefill share", 0.01, wasted)
+    }
+
+    private fun floodLow(seed: Long) = Scenario(
+        fleet,
+        Workload(seed, fleet)
+            .stream(RequestKind.mix, STEADY_LOAD, callers, 0.0, LOAD_MS)
+            .stream(listOf(RequestKind.REPORT), FLOOD_LOAD, callers, 0.0, LOAD_MS)
+            .arrivals()
+    )
+
+    private val urgentRules = mapOf(
+        "flood-limit" to ConfigObject.RuleObject(
+            caller = FLOODER,
+            pool = DevCluster.MODEL_POOL,
+            tokensPerSecond = 4_000.0,
+            concurrent = 12
+        )
+    )
+
+    private fun floodUrgent(seed: Long): Scenario {
+        val flood = RequestKind.EXPLANATION.copy(tier = 1)
+        val workload = Workload(seed, smallFleet)
+            .stream(RequestKind.mix, STEADY_LOAD, callers, 0.0, LOAD_MS)
+            .stream(listOf(flood), FLOOD_LOAD, mapOf(FLOODER to 1.0), 0.0, LOAD_MS)
+        return Scenario(smallFleet, workload.arrivals(), urgentRules)
+    }
+
+    private fun floodUrgentBounds(compared: Experiment.Comparison): List<Bound> {
+        val others = shareWhere(compared.ours) {
+            it.arrival.tier == 1 &&
+                it.arrival.caller != FLOODER
+        }
+        val before = share(compared.reference!!, 1)
+        val lower = (2..4).map { tier ->
+            val kept = share(compared.ours, tier) / share(compared.reference, tier)
+            Bound.atLeast("tier $tier kept of steady", 0.8, kept)
+        }
+        return lower +
+            Bound.atMost("other callers' points lost in tier 1", 2.0, (before - others) * 100)
+    }
+
+    private fun bigCallers(seed: Long) = Scenario(fleet, bigAndSmall(seed).arrivals())
+
+    private fun smallAlone(seed: Long): Scenario =
+        Scenario(fleet, bigAndSmall(seed).arrivals().filter { it.caller in smallCallers })
+
+    private fun bigAndSmall(seed: Long): Workload {
+        val each = 0.03
+        return Workload(seed, fleet)
+            .stream(
+                RequestKind.mix,
+                each * smallCallers.size,
+                smallCallers.associateWith {
+                    1.0
+                },
+                0.0,
+                LOAD_MS
+            )
+            .stream(
+                RequestKind.mix,
+                each * 20 * 2,
+                mapOf("big-1" to 1.0, "big-2" to 1.0),
+                0.0,
+                LOAD_MS
+            )
+    }
+
+    private fun bigCallerBounds(compared: Experiment.Comparison): List<Bound> {
+        val together = shareWhere(compared.ours) { it.arrival.caller in smallCallers }
+        val alone = shareWhere(compared.reference!!) { true }
+        return listOf(Bound.atMost("small callers' points lost", 1.0, (alone - together) * 100))
+    }
+
+    private val short = RequestKind("short", 2, 40..60, 8..12, 6_000, 0.95)
+    private val long = RequestKind("long", 2, 4_000..6_000, 800..1_000, 120_000, 0.05)
+
+    private fun mixedLengths(seed: Long) = Scenario(
+        fleet,
+        Workload(seed, fleet).stream(listOf(short, long), 0.6, callers, 0.0, LOAD_MS).arrivals()
+    )
+
+    private fun shortOnly(seed: Long): Scenario {
+        val mixed = mixedLengths(seed)
+        return mixed.copy(arrivals = mixed.arrivals.filter { it.kind.name == short.name })
+    }
+
+    private fun mixedBounds(compared: Experiment.Comparison): List<Bound> {
+        val with = compared.ours.report.firstTokenMsByKind.getValue(short.name).p95
+        val without = compared.reference!!.report.firstTokenMsByKind.getValue(short.name).p95
+        return listOf(
+            Bound.atMost(
+                "short requests' p95 first token against alone",
+                1.5,
+                with / without
+            )
+        )
+    }
+
+    private const val SLOW_LOAD = 1.0
+
+    private fun slowEngine(seed: Long) = Scenario(
+        fleet,
+        Workload(seed, fleet).stream(RequestKind.mix, SLOW_LOAD, callers, 0.0, LOAD_MS).arrivals(),
+        disturbance = { cluster ->
+            delay((LOAD_MS / 2).toLong())
+            cluster.engines.take(SLOWED).forEach { it.slowdown = 4.0 }
+        }
+    )
+
+    /** The same arrivals before a fleet whose later half has exactly the capacity that remains. */
+    private fun slowReference(seed: Long): Scenario {
+        val scenario = slowEngine(seed)
+        return scenario.copy(disturbance = { cluster ->
+            delay((LOAD_MS / 2).toLong())
+            val remaining = remainingShare()
+            cluster.engines.forEach { it.slowdown = 1 / remaining }
+        })
+    }
+
+    private fun remainingShare(): Double {
+        val speeds = fleet.engines.map { it.prefillTokensPerSecond }
+        val lost = speeds.take(SLOWED).sum() * 0.75
+        return (speeds.sum() - lost) / speeds.sum()
+    }
+
+    private fun slowBounds(compared: Experiment.Comparison): List<Bound> {
+        fun tokens(result: PolicyResult) = result.outcomes.filter { it.isInTime }
+            .sumOf { it.arrival.kind.engineSeconds }
+        val kept = tokens(compared.ours) / tokens(compared.reference!!)
+        return listOf(Bound.atLeast("goodput of the remaining capacity's", 0.95, kept))
+    }
+
+    private fun pointsLost(compared: Experiment.Comparison, tier: Int): Double =
+        (share(compared.reference!!, tier) - share(compared.ours, tier)) * 100
+
+    private fun share(result: PolicyResult, tier: Int): Double =
+        shareWhere(result) { it.arrival.tier == tier }
+
+    private fun shareWhere(result: PolicyResult, filter: (Outcome) -> Boolean): Double {
+        val chosen = result.outcomes.filter(filter)
+        return if (chosen.isEmpty()) 1.0 else chosen.count { it.isInTime }.toDouble() / chosen.size
+    }
+
+    private const val FLOODER = "flooder"
+    private const val SLOWED = 4
+    private val smallCallers = listOf("desk-a", "desk-b", "desk-c")
+}
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/PolicyRun.kt
@@ -0,0 +1,138 @@
+package org.bronzetide.bench
+
+import java.lang.management.ManagementFactory
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.cli.DevCluster
+import org.bronzetide.cli.OperatorClient
+import org.bronzetide.model.ConfigObject
+import org.bronzetide.model.Intent
+import org.bronzetide.model.Jsons
+import org.bronzetide.node.Policies
+import org.bronzetide.platform.PlatformClients
+
+/** What an experiment does to a cluster beside the load. */
+internal typealias Disturbance = suspend CoroutineScope.(DevCluster) -> Unit
+
+/** One experiment's set-up, run under one policy after another. */
+internal data class Scenario(
+    val fleet: FleetProfile,
+    val arrivals: List<Arrival>,
+    val rules: Map<String, ConfigObject.RuleObject> = emptyMap(),
+    val nodeCount: Int = 6,
+    val disturbance: Disturbance = {}
+)
+
+/** What a run gives beside its report. */
+internal class PolicyResult(
+    val report: PolicyReport,
+    val outcomes: List<Outcome>,
+    val violations: List<String>
+)
+
+/** Runs a scenario under [policy], with the scheduler's features [without] switched off. */
+internal class PolicyRun(private val policy: String, private val without: List<String>) {
+    suspend fun run(scenario: Scenario): PolicyResult {
+        val cluster = DevCluster(scenario.fleet.engines, SERVICES, scenario.nodeCount) {
+            it.copy(policy = policy, without = without)
+        }
+        cluster.use {
+            PlatformClients.create().use { http ->
+                cluster.start()
+                val operator = OperatorClient(http, cluster.url(0), DevCluster.OPERATOR_KEY)
+                configure(cluster, operator, scenario)
+                return measure(cluster, LoadRunner(http, cluster::url), scenario)
+            }
+        }
+    }
+
+    private suspend fun configure(
+        cluster: DevCluster,
+        operator: OperatorClient,
+        scenario: Scenario
+    ) {
+        val named = scenario.rules.values.mapNotNull { it.caller }
+        val callers = (scenario.arrivals.map { it.caller } + named).distinct()
+        val intent = BenchIntent.of(callers, scenario.fleet.speedup, scenario.rules)
+        val text = Jsons.settings.encodeToString(Intent.serializer(), intent)
+        val answer = operator.plan(text)
+        val plan = requireNotNull(answer.plan) { "intent refused: ${answer.faults}" }
+        val version = operator.confirm(plan).version
+        withTimeoutOrNull(SPREAD_TIMEOUT_MS) {
+            while (cluster.nodes.any { it.configurationVersion < version }) delay(POLL_MS)
+        } ?: error("the configuration did not reach every node")
+        delay(SETTLE_MS)
+    }
+
+    private suspend fun measure(
+        cluster: DevCluster,
+        runner: LoadRunner,
+        scenario: Scenario
+    ): PolicyResult {
+        val bytesBefore = cluster.nodes.sumOf { it.controlBytesSent }
+        val cpuBefore = controlCpuNanos()
+        val startedNanos = System.nanoTime()
+        val outcomes = coroutineScope {
+            val disturbance = launch(Dispatchers.Default) { scenario.disturbance(this, cluster) }
+            runner.run(scenario.arrivals).also { disturbance.join() }
+        }
+        val seconds = (System.nanoTime() - startedNanos) / 1e9
+        val nodeSeconds = cluster.nodes.size * seconds
+        val bytes = (cluster.nodes.sumOf { it.controlBytesSent } - bytesBefore).coerceAtLeast(0)
+        val cpu = (controlCpuNanos() - cpuBefore).coerceAtLeast(0)
+        System.err.println(
+            "$policy: load of ${scenario.arrivals.size} requests took ${"%.1f".format(seconds)} s"
+        )
+        val violations = settle(cluster)
+        System.err.println(
+            "$policy: settled after ${"%.1f".format(
+                (System.nanoTime() - startedNanos) / 1e9
+            )} s"
+        )
+        val scorer =
+            Scorer(outcomes, cluster.engines, cluster.services, cluster.store, startedNanos)
+        val report = scorer.report(bytes / nodeSeconds, cpu / 1e9 / nodeSeconds)
+        return PolicyResult(report, outcomes, violations + invariants(report))
+    }
+
+    private suspend fun settle(cluster: DevCluster): List<String> {
+        val violations = ArrayList<String>()
+        cluster.nodes.toList().forEach { node ->
+            val isDone = withTimeoutOrNull(DRAIN_TIMEOUT_MS) { node.drain() } ?: false
+            if (!isDone) violations += "node ${node.id} did not drain: ${node.requestCount} inside"
+        }
+        return violations
+    }
+
+    private fun invariants(report: PolicyReport): List<String> = buildList {
+        if (policy != Policies.BRONZETIDE) return@buildList
+        if (report.duplicateDispatches >
+            0
+        ) {
+            add("${report.duplicateDispatches} duplicate dispatches")
+        }
+        if (report.falseNotRun > 0) add("${report.falseNotRun} false NotRun")
+        if (report.shedInversions > 0) add("${report.shedInversions} shed inversions")
+        if (report.incompleteAnswers > 0) add("${report.incompleteAnswers} incomplete answers")
+        if (report.ledgerMismatches > 0) add("${report.ledgerMismatches} ledger mismatches")
+    }
+
+    private fun controlCpuNanos(): Long {
+        val threads = ManagementFactory.getThreadMXBean()
+        return threads.getThreadInfo(threads.allThreadIds)
+            .filter { it != null && it.threadName.startsWith("control") }
+            .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) }
+    }
+
+    private companion object {
+        const val SERVICES = 3
+        const val SPREAD_TIMEOUT_MS = 10_000L
+        const val POLL_MS = 10L
+        const val SETTLE_MS = 500L
+        const val DRAIN_TIMEOUT_MS = 15_000L
+    }
+}
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Scorer.kt
@@ -0,0 +1,147 @@
+package org.bronzetide.bench
+
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.HdrHistogram.Histogram
+import org.bronzetide.model.Jsons
+import org.bronzetide.standins.EngineStandIn
+import org.bronzetide.standins.ObjectApiStandIn
+import org.bronzetide.standins.ServiceStandIn
+
+/** Compares what callers saw with what targets and the ledger recorded. */
+internal class Scorer(
+    private val outcomes: List<Outcome>,
+    private val engines: List<EngineStandIn>,
+    private val services: List<ServiceStandIn>,
+    private val store: ObjectApiStandIn,
+    private val loadStartedNanos: Long
+) {
+    private val dispatchedIds = HashMap<String, Int>().apply {
+        engines.forEach { engine -> engine.received.forEach { (id, n) -> merge(id, n, Int::plus) } }
+        services.forEach { service ->
+            service.received.forEach { (id, n) -> merge(id, n, Int::plus) }
+        }
+    }
+    private val byId = outcomes.filter { it.requestId.isNotEmpty() }.associateBy { it.requestId }
+
+    fun report(controlBytesPerNodeSecond: Double, controlCpuFraction: Double): PolicyReport {
+        val whole = outcomes.filter { it.isWhole && it.isModelWork }
+        return PolicyReport(
+            goodputByTier = goodput { it.arrival.tier.toString() },
+            goodputByCaller = goodput { it.arrival.caller },
+            wastedPrefillTokens = wastedPrefill(),
+            prefillTokens = engines.sumOf { it.prefilledTokens },
+            duplicateDispatches = duplicates(),
+            falseNotRun = outcomes.count { it.isRefused && it.requestId in dispatchedIds },
+            shedInversions = inversions(),
+            incompleteAnswers = outcomes.count { it.isBrokenAnswer },
+            ledgerMismatches = ledgerMismatches(),
+            firstTokenMs = percentiles(whole.map { it.firstByteMs }),
+            betweenTokensMs = percentiles(whole.mapNotNull { it.betweenTokensMs }),
+            controlBytesPerNodeSecond = controlBytesPerNodeSecond,
+            controlCpuFraction = controlCpuFraction,
+            firstTokenMsByKind = whole.groupBy { it.arrival.kind.name }
+                .mapValues { (_, of) -> percentiles(of.map { it.firstByteMs }) },
+            endsByReason = outcomes.groupingBy { "${it.verdict} ${it.status} ${it.reason}".trim() }
+                .eachCount()
+        )
+    }
+
+    private val Outcome.isModelWork: Boolean
+        get() = arrival.kind.service == RequestKind.ServiceUse.NONE
+
+    private val Outcome.isBrokenAnswer: Boolean
+        get() = status == 200 && (!isWhole || !isCorrect)
+
+    private val Outcome.betweenTokensMs: Double?
+        get() = if (arrival.outputTokens < MIN_TOKENS) {
+            null
+        } else {
+            (totalMs - firstByteMs) / (arrival.outputTokens - 1)
+        }
+
+    private fun goodput(key: (Outcome) -> String) = outcomes.groupBy(key).toSortedMap()
+        .mapValues { (_, of) ->
+            PolicyReport.Goodput(of.size, of.count { it.isInTime }, of.count { it.isRefused })
+        }
+
+    private fun wastedPrefill(): Long = engines.sumOf { engine ->
+        engine.received.keys.sumOf { id ->
+            val answered = byId[id]?.isWhole == true
+            if (answered) 0L else engine.prefillOf(id).toLong()
+        }
+    }
+
+    private fun duplicates(): Int {
+        val commands = HashMap<String, Int>()
+        services.forEach { service ->
+            service.executed.forEach { (b, n) -> commands.merge(b, n, Int::plus) }
+        }
+        return dispatchedIds.values.count { it > 1 } + commands.values.count { it > 1 }
+    }
+
+    /** Refusals for want of room or time during whose wait lower work was dispatched. */
+    private fun inversions(): Int {
+        val times = Array(TIERS + 1) { ArrayList<Double>() }
+        engines.forEach { engine ->
+            engine.receivedAtNanos.forEach { (id, nanos) ->
+                byId[id]?.let { times[it.arrival.tier] += (nanos - loadStartedNanos) / 1e6 }
+            }
+        }
+        times.forEach { it.sort() }
+        return outcomes.count { outcome ->
+            val isCapacity = outcome.reason == "shed" || outcome.reason == "deadline cannot be met"
+            val window = outcome.sentAtMs + DISPATCH_SLACK_MS..outcome.sentAtMs + outcome.totalMs
+            outcome.isModelWork &&
+                outcome.isRefused &&
+                isCapacity &&
+                (outcome.arrival.tier + 1..TIERS).any { tier -> times[tier].hasIn(window) }
+        }
+    }
+
+    private fun List<Double>.hasIn(range: ClosedFloatingPointRange<Double>): Boolean {
+        val place = binarySearch(range.start).let { if (it < 0) -it - 1 else it }
+        return place < size && this[place] <= range.endInclusive
+    }
+
+    private fun ledgerMismatches(): Int {
+        val lines = HashMap<String, Int>()
+        val tokens = HashMap<String, Int>()
+        store.keys(LEDGER).forEach { key ->
+            val batch = Jsons.wire.parseToJsonElement(store.peek(key).orEmpty()).jsonObject
+            batch.getValue("lines").jsonArray.forEach { line ->
+                val fields = line.jsonObject
+                val id = fields.getValue("requestId").jsonPrimitive.content
+                lines.merge(id, 1, Int::plus)
+                tokens[id] = fields.getValue("outputTokens").jsonPrimitive.content.toInt()
+            }
+        }
+        val doubled = lines.values.count { it > 1 }
+        val undispatched = lines.keys.count { it !in dispatchedIds }
+        val unbilled = dispatchedIds.keys.count { it !in lines }
+        val wrongTokens = outcomes.count {
+            it.isWhole && it.isModelWork && tokens[it.requestId] != it.arrival.outputTokens
+        }
+        val counts = listOf(doubled, undispatched, unbilled, wrongTokens)
+        if (counts.sum() > 0) {
+            System.err.println("ledger: doubled, undispatched, unbilled, wrong tokens: $counts")
+        }
+        return counts.sum()
+    }
+
+    private fun percentiles(valuesMs: List<Double>): PolicyReport.Percentiles {
+        val histogram = Histogram(3)
+        valuesMs.forEach { histogram.recordValue((it * SCALE).toLong().coerceAtLeast(0)) }
+        fun at(percentile: Double) = histogram.getValueAtPercentile(percentile) / SCALE
+        return PolicyReport.Percentiles(at(50.0), at(95.0), at(99.0))
+    }
+
+    private companion object {
+        const val LEDGER = "bronzetide/ledger/"
+        const val TIERS = 4
+        const val MIN_TOKENS = 20
+        const val SCALE = 1_000.0
+        const val DISPATCH_SLACK_MS = 30.0
+    }
+}
--- a/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/DevCluster.kt
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/DevCluster.kt
@@ -71,6 +71,7 @@
         name = "node-$index",
         zone = zoneOf(index),
         port = 0,
+        httpThreads = HTTP_THREADS,
         peerPort = 0,
         objectApiUrl = store.url,
         hostListUrl = hostList.url,
@@ -106,6 +107,7 @@
         /** The pool of plain services. */
         const val SERVICE_POOL: String = "guide-api"
         private const val START_TIMEOUT_MS = 20_000L
+        private const val HTTP_THREADS = 2
         private const val POLL_MS = 20L
         private val ZONES = listOf("ca-west-a", "ca-west-b", "ca-west-c")
     }
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyAuthority.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyAuthority.kt
@@ -105,6 +105,13 @@
         )
     }
 
+    /** Whether the successor of slot [index], which may be this node, has the slot's memory. */
+    public fun isReplicated(index: Int): Boolean {
+        val slot = map.slots.getOrNull(index) ?: return false
+        val state = slotStates[index] ?: return false
+        return if (slot.owner == self) !state.transferPending else state.memoryEpoch == slot.epoch
+    }
+
     /** The successors that have yet to receive [transferTo] before this node may grant again. */
     public fun pendingTransfers(): Set<NodeId> = slotStates
         .filterValues { it.transferPending }
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -185,7 +185,7 @@
     /** The periods and limits of failure detection, in milliseconds. */
     public data class Timing(
         val periodMs: Long = 500,
-        val ackTimeoutMs: Long = 1_000,
+        val ackTimeoutMs: Long = 1_500,
         val suspicionMs: Long = 8_000,
         val probesPerPeriod: Int = 3,
         /** How long a dead member is remembered, so that an old rumor cannot revive it. */
--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/KeyWorld.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/KeyWorld.kt
@@ -70,7 +70,11 @@
         val unreachable = names.filter { it != host.id && random.nextInt(3) == 0 }.toSet()
         val dead = unreachable.filter { random.nextInt(3) == 0 }.toSet()
         val eligible = names.toSet() - unreachable
-        stored = OwnershipPlanner(host.id, eligible, unreachable, dead).plan(stored) ?: return
+        stored =
+            OwnershipPlanner(host.id, eligible, unreachable, dead) {
+                host.authority.isReplicated(it)
+            }
+                .plan(stored) ?: return
         host.learn(stored)
     }
 
--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/OwnershipPlannerTest.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/OwnershipPlannerTest.kt
@@ -20,6 +20,24 @@
         check(slot.owner == b && slot.successor == c && slot.epoch == 2L)
     }
 
+    @Example
+    fun `a successor without memory waits until the owner is dead`() {
+        val suspected = planner(b, unreachable = setOf(a), isReplicated = false)
+        check(suspected.plan(map) == null)
+        val dead = planner(b, unreachable = setOf(a), dead = setOf(a), isReplicated = false)
+        check(dead.plan(map)!!.slots.single().owner == b)
+    }
+
+    @Example
+    fun `a leaving owner first gives its memory to an eligible successor`() {
+        val eligible = setOf(c)
+        val first = OwnershipPlanner(a, eligible, emptySet(), emptySet()) { true }.plan(map)!!
+        check(first.slots.single().let { it.owner == a && it.successor == c })
+        check(OwnershipPlanner(a, eligible, emptySet(), emptySet()) { false }.plan(first) == null)
+        val second = OwnershipPlanner(a, eligible, emptySet(), emptySet()) { true }.plan(first)!!
+        check(second.slots.single().owner == c)
+    }
+
     @Example
     fun `a third node does not interfere while the successor lives`() {
         check(planner(c, unreachable = setOf(a), dead = setOf(a)).plan(map) == null)
@@ -35,7 +53,7 @@
 
     @Example
     fun `a leaving owner hands over to its successor`() {
-        val planner = OwnershipPlanner(a, setOf(b, c), emptySet(), emptySet())
+        val planner = OwnershipPlanner(a, setOf(b, c), emptySet(), emptySet()) { true }
         val slot = planner.plan(map)!!.slots.single()
         check(slot.owner == b && slot.successor == c)
     }
@@ -49,6 +67,7 @@
     private fun planner(
         self: NodeId,
         unreachable: Set<NodeId> = emptySet(),
-        dead: Set<NodeId> = emptySet()
-    ) = OwnershipPlanner(self, setOf(a, b, c) - unreachable, unreachable, dead)
+        dead: Set<NodeId> = emptySet(),
+        isReplicated: Boolean = true
+    ) = OwnershipPlanner(self, setOf(a, b, c) - unreachable, unreachable, dead) { isReplicated }
 }
--- a/bronzetide-model/src/main/kotlin/org/bronzetide/model/ConfigObject.kt
+++ b/bronzetide-model/src/main/kotlin/org/bronzetide/model/ConfigObject.kt
@@ -42,6 +42,8 @@
         val maxQueued: Int = 2_000,
         /** The time between tokens that the per-target limit aims for. */
         val betweenTokensMs: Double = 46.0,
+        /** The time to the first token that the backlog of prefills on a target is held to. */
+        val firstTokenMs: Double = 1_900.0,
         /** The share of dispatches that may be retries of requests that surely did not run. */
         val retryShare: Double = 0.1,
         /** The number of arbiters among which the targets and the requests are split. */
--- a/bronzetide-model/src/main/kotlin/org/bronzetide/model/IntentValidator.kt
+++ b/bronzetide-model/src/main/kotlin/org/bronzetide/model/IntentValidator.kt
@@ -60,6 +60,7 @@
             positiveFault("$name.concurrencyPerTarget", pool.concurrencyPerTarget.toDouble()),
             positiveFault("$name.maxQueued", pool.maxQueued.toDouble()),
             positiveFault("$name.betweenTokensMs", pool.betweenTokensMs),
+            positiveFault("$name.firstTokenMs", pool.firstTokenMs),
             positiveFault("$name.shards", pool.shards.toDouble()),
             Fault("$name.retryShare", "must be from 0 to 1").takeUnless {
                 pool.retryShare in
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
@@ -67,9 +67,11 @@
         settings.keySlots,
         store,
         control,
+        clock,
         { membership.view() },
         { documents.current(SharedDocument.OWNERSHIP) },
-        { documents.offer(SharedDocument.OWNERSHIP, it) }
+        { documents.offer(SharedDocument.OWNERSHIP, it) },
+        { keys.isReplicated(it) }
     )
     private var viewVersion = -1L
     private var knownDead = emptySet<NodeId>()
@@ -184,6 +186,7 @@
         is PeerMessage.DocumentUpdate -> documents.onUpdate(from, message)
         is PeerMessage.Enroll -> arbiters.onEnroll(from, message)
         is PeerMessage.Releases -> arbiters.onReleases(from, message)
+        is PeerMessage.FirstTokens -> arbiters.onFirstTokens(from, message)
         is PeerMessage.Decisions -> turns.onDecisions(from, message)
         is PeerMessage.Audit -> arbiters.onAudit(from, message)
         is PeerMessage.Missing -> turns.onMissing(message)
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/HttpEntry.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/HttpEntry.kt
@@ -52,6 +52,11 @@
         requestReadTimeoutSeconds = 0
         responseWriteTimeoutSeconds = RESPONSE_WRITE_TIMEOUT_S
         maxHeaderSize = MAX_HEADER_BYTES
+        if (settings.httpThreads > 0) {
+            connectionGroupSize = 1
+            workerGroupSize = settings.httpThreads
+            callGroupSize = settings.httpThreads
+        }
         val tls = settings.tls
         if (tls == null) {
             connectors += EngineConnectorBuilder().apply {
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Settings.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Settings.kt
@@ -20,6 +20,8 @@
     val host: String = "127.0.0.1",
     /** The port for callers and operators; 0 picks a free one. */
     val port: Int = 8080,
+    /** The threads that serve callers; 0 takes one for each processor. */
+    val httpThreads: Int = 0,
     /** The port for peers; 0 picks a free one. */
     val peerPort: Int = 8081,
     /** The base URL of the platform's Object API. */
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CompletionParser.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CompletionParser.kt
@@ -18,6 +18,8 @@
     private const val MAX_DEPTH = 64
     private const val LONG_PROMPT_TOKENS = 1_000
 
+    private val structure = charArrayOf('\\', '"', '{', '[', '}', ']')
+
     /** Parses [text], or says what is wrong with it. */
     fun parse(text: String): ParseResult {
         if (isTooDeep(text)) return ParseResult.Invalid("the body is nested too deeply")
@@ -94,15 +96,15 @@
     private fun isTooDeep(text: String): Boolean {
         var depth = 0
         var isQuoted = false
-        var index = 0
-        while (index < text.length) {
+        var index = text.indexOfAny(structure)
+        while (index >= 0) {
             when (text[index]) {
                 '\\' -> if (isQuoted) index++
                 '"' -> isQuoted = !isQuoted
                 '{', '[' -> if (!isQuoted && ++depth > MAX_DEPTH) return true
-                '}', ']' -> if (!isQuoted) depth--
+                else -> if (!isQuoted) depth--
             }
-            index++
+            index = text.indexOfAny(structure, index + 1)
         }
         return false
     }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestFlow.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestFlow.kt
@@ -178,6 +178,7 @@
         private fun onFirstToken() {
             metrics.onFirstToken(request.policy.tier, clock.nowMs() - startedAtMs)
             span.addEvent("first token")
+            turns.onFirstToken(turn)
         }
 
         private fun recordPrefill(ended: DispatchResult?) {
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/KeyService.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/KeyService.kt
@@ -51,6 +51,9 @@
         if (outcome == null) slot.successor?.let { send(it, message) }
     }
 
+    /** Whether the successor of slot [index] is known to have its memory. */
+    fun isReplicated(index: Int): Boolean = authority.isReplicated(index)
+
     fun onMap(next: OwnershipMap) {
         map = next
         authority.onMap(next)
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/OwnershipKeeper.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/keys/OwnershipKeeper.kt
@@ -8,6 +8,7 @@
 import org.bronzetide.coordination.Document
 import org.bronzetide.coordination.Member
 import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.coordination.NodeId
 import org.bronzetide.coordination.OwnershipMap
 import org.bronzetide.coordination.OwnershipPlanner
@@ -25,10 +26,13 @@
     private val slotCount: Int,
     private val store: ObjectStore,
     private val control: ControlLoop,
+    private val clock: MonotonicClock,
     private val members: () -> List<Member>,
     private val current: () -> Document,
-    private val offer: (Document) -> Unit
+    private val offer: (Document) -> Unit,
+    private val isReplicated: (Int) -> Boolean
 ) {
+    private val startedAtMs = clock.nowMs()
     private val backoff = Backoff(FIRST_RETRY_MS, MAX_RETRY_MS, Random(self.hashCode()))
     private val updates = ConditionalUpdate(store) { delay(backoff.nextMs()) }
 
@@ -70,11 +74,15 @@
         val known = view.map { it.id }.toSet()
         val named = map.slots.flatMap { listOfNotNull(it.owner, it.successor) }.toSet()
         val dead =
-            view.filter { it.state == MemberState.DEAD }.map { it.id }.toSet() + (named - known)
+            view.filter { it.state == MemberState.DEAD }.map { it.id }.toSet() +
+                (named - known).takeIf { isSettled() }.orEmpty()
         val suspected = view.filter { it.state == MemberState.SUSPECT }.map { it.id }.toSet()
-        return OwnershipPlanner(self, eligible, dead + suspected, dead).plan(map)
+        return OwnershipPlanner(self, eligible, dead + suspected, dead, isReplicated).plan(map)
     }
 
+    /** Whether this node has been up for long enough to have met every live member. */
+    private fun isSettled(): Boolean = clock.nowMs() - startedAtMs >= SETTLE_MS
+
     /** Reads the map from the store; returns whether the store has none. */
     private suspend fun readAhead(): Boolean = when (val read = store.read(KEY)) {
         is ReadResult.Found -> {
@@ -91,6 +99,7 @@
     private companion object {
         const val KEY = "bronzetide/ownership"
         const val CHECK_MS = 300L
+        const val SETTLE_MS = 15_000L
         const val FIRST_RETRY_MS = 100L
         const val MAX_RETRY_MS = 2_000L
     }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/peer/PeerMessage.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/peer/PeerMessage.kt
@@ -58,6 +58,14 @@
         @CborLabel(2) val releases: List<WireRelease>
     ) : PeerMessage()
 
+    /** Tickets of the sender whose requests have their first token. */
+    @Serializable
+    @SerialName("f")
+    data class FirstTokens(
+        @CborLabel(1) val shard: PoolShard,
+        @CborLabel(2) val sequences: List<Long>
+    ) : PeerMessage()
+
     /** The arbiter's decisions on tickets of the receiver. */
     @Serializable
     @SerialName("d")
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/Arbiters.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/Arbiters.kt
@@ -73,6 +73,12 @@
         arbiter.decide(nowMs)
     }
 
+    fun onFirstTokens(from: NodeId, message: PeerMessage.FirstTokens) {
+        val arbiter = arbiters[message.shard] ?: return
+        message.sequences.forEach { arbiter.scheduler.onFirstToken(TicketId(from, it)) }
+        arbiter.decide(clock.nowMs())
+    }
+
     fun onAudit(from: NodeId, message: PeerMessage.Audit) {
         val nowMs = clock.nowMs()
         val arbiter = arbiters[message.shard]
@@ -157,6 +163,7 @@
                 pool.concurrencyPerTarget,
                 pool.maxQueued,
                 pool.betweenTokensMs,
+                pool.firstTokenMs,
                 features
             )
         )
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/ArbitratedTurns.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/ArbitratedTurns.kt
@@ -45,6 +45,11 @@
         }
     }
 
+    override fun onFirstToken(turn: Turn) = control.post {
+        val arbiter = arbiters[turn.shard] ?: return@post
+        send(arbiter, PeerMessage.FirstTokens(turn.shard, listOf(turn.sequence)))
+    }
+
     override fun release(turn: Turn, release: Release) = control.post {
         val entry = entries.remove(turn.sequence) ?: return@post
         sendRelease(entry.shard, entry.sequence, release)
@@ -55,7 +60,7 @@
         if (eligible == candidates) return
         candidates = eligible
         val moved = arbiters.keys.filter { arbiterOf(it) != arbiters[it] }.toSet()
-        moved.forEach { shard -> arbiterOf(shard)?.let { arbiters[shard] = it } }
+        moved.forEach { shard -> move(shard) }
         entries.values.filter {
             it.shard in moved
         }.groupBy { it.shard }.forEach { (shard, tickets) ->
@@ -63,6 +68,12 @@
         }
     }
 
+    private fun move(shard: PoolShard) {
+        val next = arbiterOf(shard) ?: return
+        val previous = arbiters.put(shard, next)
+        if (previous != null) send(previous, PeerMessage.Audit(shard, emptyList()))
+    }
+
     fun onDecisions(from: NodeId, message: PeerMessage.Decisions) {
         message.decisions.forEach { decide(from, message.shard, it) }
     }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/LocalTurns.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/LocalTurns.kt
@@ -39,6 +39,8 @@
         }
     }
 
+    override fun onFirstToken(turn: Turn) = Unit
+
     override fun release(turn: Turn, release: Release) = control.post {
         inFlight.merge(turn.target, -1, Int::plus)
         serve(turn.shard.pool)
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/TurnSource.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/TurnSource.kt
@@ -12,6 +12,9 @@
     /** Waits for a turn. A cancelled wait gives the turn back. */
     suspend fun acquire(request: TurnRequest): TurnResult
 
+    /** Notes that the request of a granted turn has its first token. */
+    fun onFirstToken(turn: Turn)
+
     /** Ends a granted turn; called once for each. */
     fun release(turn: Turn, release: Release)
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Feature.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Feature.kt
@@ -29,6 +29,9 @@
     /** Places that only the two most urgent tiers may take. */
     HEADROOM("headroom"),
 
+    /** A bound on the prompts that a target has taken and not begun to answer. */
+    PREFILL_BOUND("prefill-bound"),
+
     /** Ejection of targets that fail or are far slower than their peers. */
     EJECTION("ejection")
     ;
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolPolicy.kt
@@ -7,6 +7,8 @@
     val maxQueued: Int = 2_000,
     /** The time between tokens that the per-target limit aims for. */
     val betweenTokensMs: Double = 46.0,
+    /** The time to the first token that the backlog of prefills on a target is held to. */
+    val firstTokenMs: Double = 1_900.0,
     val features: Set<Feature> = Feature.all
 ) {
     /** Whether [feature] is on. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
@@ -72,9 +72,15 @@
         return true
     }
 
+    /** Notes that a granted ticket's request has its first token, so that its prefill is done. */
+    public fun onFirstToken(id: TicketId) {
+        running[id]?.let { prefilled(it) }
+    }
+
     /** Ends a granted ticket. Unknown tickets are ignored, so that a repeat has no effect. */
     public fun release(id: TicketId, release: Release, nowMs: Long) {
         val run = running.remove(id) ?: return
+        prefilled(run)
         targets.end(run.target, run.predictedMs, release, nowMs)
         val isMeasured = release.outcome == ReleaseOutcome.FINISHED
         if (isMeasured) estimator.learn(run.ticket, release.outputTokens)
@@ -118,6 +124,12 @@
     private fun grantNext(): Decision? =
         targets.lowestTierWithRoom()?.let { queue.next(it) }?.let { grant(it) }
 
+    private fun prefilled(run: Running) {
+        if (run.isPrefilled) return
+        run.isPrefilled = true
+        targets.onPrefilled(run.target, run.ticket.promptTokens)
+    }
+
     private fun admissionFault(ticket: Ticket, tokens: Double, nowMs: Long): Decision? {
         if (ticket.isRepeated) {
             limiter.readmit(ticket.caller)
@@ -162,7 +174,7 @@
         val predictedMs = target.pace.predictMs(ticket.promptTokens, outputTokens)
         val tokens = (ticket.promptTokens + outputTokens).toDouble()
         running[ticket.id] = Running(ticket, target.id, predictedMs, tokens)
-        targets.start(target, ticket.prefixHash, predictedMs)
+        targets.start(target, ticket, predictedMs)
         queue.charge(ticket, tokens)
     }
 
@@ -177,7 +189,9 @@
         val target: TargetId,
         val predictedMs: Double,
         val tokens: Double
-    )
+    ) {
+        var isPrefilled = false
+    }
 
     /** What is known of one target. */
     public data class TargetView(
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
@@ -12,6 +12,8 @@
     private val withHeadroom = TreeSet(order)
     private val ejected = ArrayList<TargetState>()
     private val affinity = PrefixAffinity()
+    private val urgentBacklogMs = policy.firstTokenMs * URGENT_BACKLOG_SHARE
+    private val backlogBoundMs = policy.firstTokenMs * BACKLOG_SHARE
     private var nextOrder = 0
     private var turn = 0L
 
@@ -76,9 +78,15 @@
         return if (usesCache) cached else best
     }
 
-    fun start(target: TargetState, prefixHash: Long, predictedMs: Double) {
-        affinity.remember(prefixHash, target.id)
-        reorder(target) { target.start(predictedMs) }
+    fun start(target: TargetState, ticket: Ticket, predictedMs: Double) {
+        affinity.remember(ticket.prefixHash, target.id)
+        reorder(target) { target.start(predictedMs, ticket.promptTokens) }
+    }
+
+    /** Notes that a request with [promptTokens] on the target [id] has its first token. */
+    fun onPrefilled(id: TargetId, promptTokens: Int) {
+        val target = targets[id] ?: return
+        reorder(target) { target.onPrefilled(promptTokens) }
     }
 
     fun find(id: TargetId): TargetState? = targets[id]
@@ -167,8 +175,11 @@
         target.refreshScore(if (Feature.PREDICTED_FINISH in policy) null else turn++)
         if (!target.isListed || target.isLeaving || target in ejected) return
         val limit = target.limit.current
-        if (target.inFlight < limit) withRoom.add(target)
-        if (target.inFlight < limit - headroom(limit)) withHeadroom.add(target)
+        val backlogMs = if (Feature.PREFILL_BOUND in policy) target.prefillBacklogMs else 0.0
+        val hasRoom = target.inFlight < limit && backlogMs <= urgentBacklogMs
+        val hasHeadroom = target.inFlight < limit - headroom(limit) && backlogMs <= backlogBoundMs
+        if (hasRoom) withRoom.add(target)
+        if (hasHeadroom) withHeadroom.add(target)
     }
 
     private fun headroom(limit: Int): Int = if (Feature.HEADROOM in policy &&
@@ -182,6 +193,8 @@
     private companion object {
         const val MIN_LIMIT_FOR_HEADROOM = 4
         const val HEADROOM_DIVISOR = 4
+        const val URGENT_BACKLOG_SHARE = 0.5
+        const val BACKLOG_SHARE = 0.15
         val lowestReserved = Tier(2)
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
@@ -27,13 +27,25 @@
     /** Orders targets by predicted finish; fixed while the target stands in an ordered set. */
     var score = 0.0
 
+    /** The prompt tokens taken whose requests have no first token yet. */
+    private var prefillTokens = 0
+
+    /** The predicted time until the prompts taken so far are prefilled, in milliseconds. */
+    val prefillBacklogMs: Double get() = prefillTokens * pace.prefillMsPerToken
+
     fun refreshScore(turn: Long?) {
-        score = turn?.toDouble() ?: ((outstandingMs + pace.typicalMs) / limit.current)
+        val shareMs = (outstandingMs + pace.typicalMs) / limit.current
+        score = turn?.toDouble() ?: (prefillBacklogMs + shareMs)
     }
 
-    fun start(predictedMs: Double) {
+    fun start(predictedMs: Double, promptTokens: Int) {
         inFlight++
         outstandingMs += predictedMs
+        prefillTokens += promptTokens
+    }
+
+    fun onPrefilled(promptTokens: Int) {
+        prefillTokens -= promptTokens
     }
 
     fun end(predictedMs: Double) {
--- a/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineCore.kt
+++ b/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineCore.kt
@@ -77,6 +77,7 @@
     }
 
     private fun admitArrivals() {
+        batch.filter { it.isDone }.forEach { it.publish() }
         batch.removeAll { it.isDone }
         while (batch.size < profile.maxBatch) batch += arrivals.poll() ?: return
     }
@@ -107,8 +108,8 @@
     }
 
     private companion object {
-        const val FLUSH_MS = 4.0
+        const val FLUSH_MS = 12.0
         const val MAX_DEBT_MS = 50.0
-        const val MAX_KEPT = 20_000
+        const val MAX_KEPT = 200_000
     }
 }
--- a/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineSequence.kt
+++ b/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineSequence.kt
@@ -8,13 +8,18 @@
     val id: String,
     val promptTokens: Int,
     val outputTokens: Int,
-    var prefillLeft: Int
+    private val prefill: Int
 ) {
     private val listeners = CopyOnWriteArrayList<Channel<Unit>>()
 
+    var prefillLeft = prefill
+
     @Volatile
     var produced = 0
 
+    /** The prompt tokens computed so far. */
+    val prefilled: Int get() = prefill - prefillLeft
+
     @Volatile
     var isCancelled = false
 
--- a/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineStandIn.kt
+++ b/bronzetide-standins/src/main/kotlin/org/bronzetide/standins/EngineStandIn.kt
@@ -49,6 +49,9 @@
     /** How often each request id was received. */
     val received = ConcurrentHashMap<String, Int>()
 
+    /** When each request id was received, in [System.nanoTime]. */
+    val receivedAtNanos = ConcurrentHashMap<String, Long>()
+
     /** The tokens generated for each request id. */
     val served = ConcurrentHashMap<String, Int>()
 
@@ -64,6 +67,9 @@
     /** The prompt tokens computed so far, cached ones left out. */
     val prefilledTokens: Long get() = core.prefilledTokens.get()
 
+    /** The prompt tokens computed for the request [id]. */
+    fun prefillOf(id: String): Int = core.find(id)?.prefilled ?: 0
+
     init {
         scope.launch { reportLoad() }
     }
@@ -87,6 +93,7 @@
             .joinToString("\n") { it.jsonObject.getValue("content").jsonPrimitive.content }
         val id = call.request.header("X-Request-Id") ?: "anonymous-${System.nanoTime()}"
         received.merge(id, 1, Int::plus)
+        receivedAtNanos[id] = System.nanoTime()
         val sequence = core.admit(id, prompt, outputTokens(body, prompt))
         if (body["stream"]?.jsonPrimitive?.content == "true") {
             stream(call, sequence, after = 0)
@@ -122,6 +129,8 @@
 
     private suspend fun stream(call: ApplicationCall, sequence: EngineSequence, after: Int) {
         call.respondBytesWriter(ContentType.Text.EventStream) {
+            writeStringUtf8(": accepted\n\n")
+            flush()
             val ticks = sequence.listen()
             try {
                 writeTokens(sequence, ticks, after)
