--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Bench.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Bench.kt
@@ -13,7 +13,9 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.long
+import java.io.File
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
 import org.bronzetide.scheduling.Feature
 
@@ -32,8 +34,21 @@
         "Runs an experiment on real nodes before stand-ins. Exit code 1: an invariant broke."
 
     override fun run() {
-        if (isList) return LoadExperiments.all.forEach { echo("${it.name}  ${it.summary}") }
-        val chosen = LoadExperiments.all.find { it.name == experiment }
+        if (isList) return list()
+        when (experiment) {
+            "overhead" -> return echo(
+                encode(OverheadReport.serializer()) {
+                    OverheadExperiment(seed).run()
+                }
+            )
+            "node-crash" -> return nodeCrash()
+            "slopes" -> return echo(
+                encode(SlopesReport.serializer()) {
+                    SlopesExperiment(seed).run()
+                }
+            )
+        }
+        val chosen = experiments.find { it.name == experiment }
             ?: throw UsageError("no experiment is named $experiment; --list names them")
         val report = runBlocking { chosen.run(seed, without, isOursOnly) }
         if (isJson) {
@@ -46,6 +61,26 @@
         if (report.violations.isNotEmpty()) throw ProgramResult(1)
     }
 
+    private fun nodeCrash() {
+        val control = System.getenv("BRONZETIDE_BENCH_CONTROL")
+            ?: throw UsageError("node-crash starts processes: call it through bench/run")
+        echo(
+            encode(NodeCrashReport.serializer()) {
+                NodeCrashExperiment(seed, File(control)).run()
+            }
+        )
+    }
+
+    private fun list() {
+        experiments.forEach { echo("${it.name}  ${it.summary}") }
+        echo("node-crash  a node killed, another paused, commands retried elsewhere")
+        echo("overhead  what a node adds to a call of the engine")
+        echo("slopes  what the capacity page is worked out from")
+    }
+
+    private fun <T> encode(serializer: KSerializer<T>, run: suspend () -> T): String =
+        json.encodeToString(serializer, runBlocking { run() })
+
     private fun show(report: ExperimentReport) {
         echo(
             "${report.name}, seed ${report.seed}, ${report.nodeCount} nodes, " +
@@ -74,6 +109,7 @@
     }
 
     private companion object {
+        val experiments = LoadExperiments.all + FaultExperiments.all
         val json = Json { encodeDefaults = true }
     }
 }
--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Experiment.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Experiment.kt
@@ -35,7 +35,8 @@
 
     private fun warmUp(set: Scenario): Scenario = set.copy(
         arrivals = set.arrivals.filter { it.atMs < WARM_UP_MS },
-        disturbance = {}
+        hasRelays = false,
+        disturbance = { _, _ -> }
     )
 
     /** A run beside its reference run. */
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/FaultExperiments.kt
@@ -0,0 +1,268 @@
+package org.bronzetide.bench
+
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.cli.DevCluster
+import org.bronzetide.cli.OperatorClient
+import org.bronzetide.model.ConfigObject
+import org.bronzetide.model.Intent
+import org.bronzetide.model.Jsons
+import org.bronzetide.platform.PlatformClients
+import org.bronzetide.standins.StoreFault
+
+/** The experiments on failures and changes under load. */
+internal object FaultExperiments {
+    private val fleet = FleetProfile(speedup = 3.0)
+    private val callers = mapOf("osijek" to 3.0, "desk-a" to 1.0, "desk-b" to 1.0)
+    private const val LIST_LIMIT_MS = 2_000.0
+    private const val SPREAD_LIMIT_MS = 2_000.0
+    private const val READY_LIMIT_MS = 5_000.0
+    private const val IDLE_LIMIT_MS = 2_000.0
+
+    val all = listOf(
+        Experiment("target-leaves", "targets leave and come", ::targetLeaves) { compared ->
+            listOf(atMost(compared, DISPATCH_AFTER_MS, LIST_LIMIT_MS))
+        },
+        Experiment("store-outage", "Object API down, slow, losing answers", ::storeOutage) {
+            listOf(
+                atMost(it, REVERTS, 0.0),
+                atMost(it, NEW_NODE_MS, READY_LIMIT_MS),
+                Bound.atMost("requests that failed", 0.0, failures(it))
+            )
+        },
+        Experiment("silent-links", "open connections go silent", ::silentLinks, ::untouched) {
+            listOf(
+                Bound.atMost("answers that are not whole", 0.0, failures(it)),
+                Bound.atMost("added p99 in ms", IDLE_LIMIT_MS + 1_000, addedP99Ms(it))
+            )
+        },
+        Experiment("rolling-restart", "every node replaced in turn", ::rollingRestart) {
+            listOf(Bound.atMost("requests cut off", 0.0, cutOff(it)))
+        },
+        Experiment("config-storm", "operators race, nodes restart", ::configStorm) {
+            listOf(
+                atMost(it, SPREAD_MS, SPREAD_LIMIT_MS),
+                atMost(it, REVERTS, 0.0),
+                atMost(it, LOST_CHANGES, 0.0)
+            )
+        }
+    )
+
+    private fun load(seed: Long, load: Double, lengthMs: Double, patience: Int = 1): Scenario {
+        val kinds = RequestKind.mix.map { it.copy(deadlineMs = it.deadlineMs * patience) }
+        val workload = Workload(seed, fleet).stream(kinds, load, callers, 0.0, lengthMs)
+        return Scenario(fleet, workload.arrivals())
+    }
+
+    private fun targetLeaves(seed: Long) = load(seed, load = 0.4, lengthMs = 10_000.0).copy(
+        disturbance = { cluster, findings ->
+            var latestMs = 0.0
+            for (leaving in listOf(setOf(0, 1), setOf(5), setOf(8, 9, 10))) {
+                delay(600)
+                setLeaving(cluster, leaving)
+                val shownNanos = System.nanoTime()
+                delay(2_500)
+                leaving.forEach { index ->
+                    val last =
+                        cluster.engines[index].receivedAtNanos.values.maxOrNull() ?: shownNanos
+                    latestMs = maxOf(latestMs, (last - shownNanos) / 1e6)
+                }
+                setLeaving(cluster, emptySet())
+            }
+            findings.figures[DISPATCH_AFTER_MS] = latestMs
+        }
+    )
+
+    private fun setLeaving(cluster: DevCluster, indexes: Set<Int>) =
+        cluster.hostList.update { list ->
+            val names = indexes.map { "engine-$it" }
+            list.copy(targets = list.targets.map { it.copy(isLeaving = it.id in names) })
+        }
+
+    private fun storeOutage(seed: Long) =
+        load(seed, load = 0.3, lengthMs = 23_000.0, patience = 3).copy(
+            disturbance = { cluster, findings ->
+                val watcher = watchVersions(cluster, findings)
+                delay(1_000)
+                cluster.store.fault = StoreFault.Down
+                delay(2_000)
+                findings.figures[NEW_NODE_MS] = startNode(cluster, index = 6)
+                delay(4_000)
+                cluster.store.fault = StoreFault.Slow(3_000)
+                delay(6_500)
+                cluster.store.fault = StoreFault.LosesAnswers
+                delay(6_500)
+                cluster.store.fault = StoreFault.None
+                delay(1_500)
+                watcher.cancel()
+            }
+        )
+
+    /** Starts a node and returns the time until it serves the newest configuration, in ms. */
+    private suspend fun startNode(cluster: DevCluster, index: Int): Double {
+        val newest = cluster.nodes.maxOf { it.configurationVersion }
+        val startedNanos = System.nanoTime()
+        val node = cluster.addNode(index)
+        withTimeoutOrNull(NODE_START_MS) { while (!node.isReady) delay(POLL_MS) }
+        val isCurrent = node.isReady && node.configurationVersion >= newest
+        return if (isCurrent) (System.nanoTime() - startedNanos) / 1e6 else Double.MAX_VALUE
+    }
+
+    private fun CoroutineScope.watchVersions(cluster: DevCluster, findings: Findings) = launch {
+        findings.figures[REVERTS] = 0.0
+        val seen = HashMap<String, Long>()
+        while (isActive) {
+            cluster.nodes.toList().forEach { node ->
+                val version = node.configurationVersion
+                val before = seen.put(node.id.value, version) ?: 0
+                if (version < before) findings.figures.merge(REVERTS, 1.0, Double::plus)
+            }
+            delay(POLL_MS)
+        }
+    }
+
+    private fun untouched(seed: Long) =
+        load(seed, load = 0.3, lengthMs = 8_000.0, patience = 8).copy(hasRelays = true)
+
+    private fun silentLinks(seed: Long) = untouched(seed).copy(
+        disturbance = { cluster, _ ->
+            repeat(2) {
+                delay(2_500)
+                cluster.relays.forEach { it.silence() }
+            }
+        }
+    )
+
+    private fun addedP99Ms(compared: Experiment.Comparison): Double {
+        fun p99(result: PolicyResult): Double {
+            val sorted = result.outcomes.map { it.totalMs }.sorted()
+            return sorted[(sorted.size * 99) / 100]
+        }
+        return p99(compared.ours) - p99(compared.reference!!)
+    }
+
+    private fun rollingRestart(seed: Long) = load(seed, load = 0.4, lengthMs = 14_000.0).copy(
+        disturbance = { cluster, findings ->
+            delay(1_000)
+            cluster.nodes.toList().forEachIndexed { index, old ->
+                val fresh = cluster.addNode(index)
+                withTimeoutOrNull(NODE_START_MS) { while (!fresh.isReady) delay(POLL_MS) }
+                cluster.nodes.remove(old)
+                delay(BALANCER_MS)
+                if (!old.drain()) findings.violations += "${old.id} did not drain"
+                old.close()
+            }
+        }
+    )
+
+    private fun configStorm(seed: Long) = load(seed, load = 0.2, lengthMs = 12_000.0).copy(
+        disturbance = { cluster, findings -> Storm(cluster, findings).run(this) }
+    )
+
+    /** Operators who race each other while nodes are replaced. */
+    private class Storm(private val cluster: DevCluster, private val findings: Findings) {
+        private val accepted = ConcurrentLinkedQueue<Pair<Long, String>>()
+        private val spreadMs = ConcurrentLinkedQueue<Double>()
+
+        suspend fun run(scope: CoroutineScope) {
+            val watcher = with(FaultExperiments) { scope.watchVersions(cluster, findings) }
+            PlatformClients.create().use { http ->
+                coroutineScope {
+                    repeat(OPERATORS) { operator ->
+                        launch {
+                            repeat(CHANGES) {
+                                change(OperatorClient(http, url(operator + it), KEY), operator, it)
+                            }
+                        }
+                    }
+                    launch { replaceNodes() }
+                }
+            }
+            watcher.cancel()
+            findings.figures[SPREAD_MS] = spreadMs.maxOrNull() ?: 0.0
+            val kept = Jsons.wire.decodeFromString(
+                org.bronzetide.model.Configuration.serializer(),
+                cluster.store.peek("bronzetide/config").orEmpty()
+            ).objects.keys
+            findings.figures[LOST_CHANGES] = accepted.count { it.second !in kept }.toDouble()
+            if (accepted.isEmpty()) findings.violations += "no change was accepted"
+        }
+
+        private fun url(index: Int) = cluster.url(index)
+
+        private suspend fun change(operator: OperatorClient, who: Int, number: Int) {
+            val name = "storm-$who-$number"
+            val contested = ConfigObject.TierObject(4, deadlineMs = 50_000L + who * 100 + number)
+            val intent = Intent(
+                tiers = if (number % 2 == 0) mapOf("contested" to contested) else emptyMap(),
+                rules = mapOf(
+                    name to ConfigObject.RuleObject(pool = DevCluster.MODEL_POOL, deadlineMs = null)
+                )
+            )
+            val text = Jsons.settings.encodeToString(Intent.serializer(), intent)
+            runCatching {
+                val plan = operator.plan(text).plan ?: return
+                val answer = operator.confirm(plan)
+                if (answer.result == "confirmed") {
+                    accepted += answer.version to "rule/$name"
+                    awaitEverywhere(answer.version)
+                }
+            }
+        }
+
+        private suspend fun awaitEverywhere(version: Long) {
+            val startedNanos = System.nanoTime()
+            val nodes = cluster.nodes.toList()
+            withTimeoutOrNull(NODE_START_MS) {
+                while (nodes.any {
+                        it in cluster.nodes && it.configurationVersion < version
+                    }
+                ) {
+                    delay(5)
+                }
+            }
+            spreadMs += (System.nanoTime() - startedNanos) / 1e6
+        }
+
+        private suspend fun replaceNodes() = repeat(2) { index ->
+            delay(1_500)
+            val old = cluster.nodes[index]
+            val fresh = cluster.addNode(index)
+            withTimeoutOrNull(NODE_START_MS) { while (!fresh.isReady) delay(POLL_MS) }
+            cluster.nodes.remove(old)
+            delay(BALANCER_MS)
+            old.drain()
+            old.close()
+        }
+
+        private companion object {
+            const val OPERATORS = 3
+            const val CHANGES = 15
+            const val KEY = DevCluster.OPERATOR_KEY
+        }
+    }
+
+    private fun atMost(compared: Experiment.Comparison, name: String, bound: Double) =
+        Bound.atMost(name, bound, compared.ours.figures[name] ?: Double.MAX_VALUE)
+
+    private fun failures(compared: Experiment.Comparison): Double = compared.ours.outcomes.count {
+        it.verdict != "Ran" || !it.isWhole || !it.isCorrect
+    }.toDouble()
+
+    private fun cutOff(compared: Experiment.Comparison): Double =
+        compared.ours.outcomes.count { !it.isRefused && (!it.isWhole || !it.isCorrect) }.toDouble()
+
+    private const val DISPATCH_AFTER_MS = "latest dispatch after a target is shown leaving, ms"
+    private const val REVERTS = "reverts of a configuration"
+    private const val NEW_NODE_MS = "time until a node started in the outage serves, ms"
+    private const val SPREAD_MS = "time until a change is in force everywhere, ms"
+    private const val LOST_CHANGES = "accepted changes lost"
+    private const val NODE_START_MS = 10_000L
+    private const val BALANCER_MS = 100L
+    private const val POLL_MS = 20L
+}
--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/LoadExperiments.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/LoadExperiments.kt
@@ -192,7 +192,7 @@
     private fun slowEngine(seed: Long) = Scenario(
         fleet,
         Workload(seed, fleet).stream(RequestKind.mix, SLOW_LOAD, callers, 0.0, LOAD_MS).arrivals(),
-        disturbance = { cluster ->
+        disturbance = { cluster, _ ->
             delay((LOAD_MS / 2).toLong())
             cluster.engines.take(SLOWED).forEach { it.slowdown = 4.0 }
         }
@@ -201,7 +201,7 @@
     /** The same arrivals before a fleet whose later half has exactly the capacity that remains. */
     private fun slowReference(seed: Long): Scenario {
         val scenario = slowEngine(seed)
-        return scenario.copy(disturbance = { cluster ->
+        return scenario.copy(disturbance = { cluster, _ ->
             delay((LOAD_MS / 2).toLong())
             val remaining = remainingShare()
             cluster.engines.forEach { it.slowdown = 1 / remaining }
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/NodeCrashExperiment.kt
@@ -0,0 +1,245 @@
+package org.bronzetide.bench
+
+import io.ktor.client.HttpClient
+import io.ktor.client.request.get
+import java.io.File
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import org.bronzetide.cli.CallerAnswer
+import org.bronzetide.cli.CallerClient
+import org.bronzetide.cli.DevCluster
+import org.bronzetide.cli.OperatorClient
+import org.bronzetide.model.Intent
+import org.bronzetide.model.Jsons
+import org.bronzetide.node.Settings
+import org.bronzetide.platform.NodeHost
+import org.bronzetide.platform.PlatformClients
+
+/** What the crash of one node and the pause of another did. */
+@Serializable
+internal data class NodeCrashReport(
+    val name: String,
+    val seed: Long,
+    val nodeCount: Int,
+    val requests: Int,
+    val commands: Int,
+    val commandsByVerdict: Map<String, Int>,
+    val duplicateDispatches: Int,
+    val falseNotRun: Int,
+    val incompleteAnswers: Int,
+    val violations: List<String>,
+    val bounds: List<Bound>
+)
+
+/**
+ * Nodes as processes: one is killed, another paused past its suspicion and continued, while keyed
+ * commands are retried through other nodes. `bench/run` starts and signals the processes.
+ */
+internal class NodeCrashExperiment(private val seed: Long, private val control: File) {
+    private val random = Random(seed)
+    private val answers = ConcurrentLinkedQueue<Seen>()
+    private val verdicts = ConcurrentLinkedQueue<String>()
+    private val ports = List(NODES) { freePort() }
+    private val balanced = java.util.concurrent.CopyOnWriteArrayList((0 until NODES).toList())
+    private val startedNanos = System.nanoTime()
+    private var killedAtMs = 0.0
+    private var pausedAtMs = 0.0
+
+    suspend fun run(): NodeCrashReport = DevCluster(
+        FleetProfile(speedup = 3.0, engineCount = 6).engines,
+        3,
+        nodeCount = 0
+    ).use { platform ->
+        PlatformClients.create().use { http -> drive(platform, http) }
+    }
+
+    private suspend fun drive(platform: DevCluster, http: HttpClient): NodeCrashReport {
+        startNodes(platform, http)
+        val operator = OperatorClient(http, url(0), DevCluster.OPERATOR_KEY)
+        val text = Jsons.settings.encodeToString(
+            Intent.serializer(),
+            BenchIntent.of(listOf(CALLER), 3.0)
+        )
+        operator.confirm(requireNotNull(operator.plan(text).plan))
+        delay(SETTLE_MS)
+        withContext(Dispatchers.Default) {
+            coroutineScope {
+                launch { fail() }
+                load(CallerClient(http, timeoutMs = 10_000))
+            }
+        }
+        say("end all")
+        return report(platform)
+    }
+
+    private suspend fun startNodes(platform: DevCluster, http: HttpClient) {
+        val hosts = ports.mapIndexed { index, port ->
+            val peerPort = freePort()
+            val settings = platform.settings(
+                index
+            ).copy(port = port, peerPort = peerPort, httpThreads = 0)
+            val text = Jsons.settings.encodeToString(Settings.serializer(), settings)
+            File(control, "node-$index.json").writeText(text)
+            say("start node-$index")
+            NodeHost("node-$index", "127.0.0.1", peerPort, settings.zone)
+        }
+        platform.hostList.update { it.copy(nodes = hosts) }
+        withTimeout(START_MS) {
+            for (index in 0 until NODES) {
+                while (!isReady(http, index)) delay(POLL_MS)
+            }
+        }
+    }
+
+    private suspend fun isReady(http: HttpClient, index: Int): Boolean =
+        runCatching { http.get("${url(index)}/readyz").status.value == 200 }.getOrDefault(false)
+
+    private suspend fun fail() {
+        delay(4_000)
+        killedAtMs = nowMs()
+        say("kill node-$KILLED")
+        delay(BALANCER_MS)
+        balanced.remove(KILLED)
+        delay(5_000)
+        pausedAtMs = nowMs()
+        say("pause node-$PAUSED")
+        delay(BALANCER_MS)
+        balanced.remove(PAUSED)
+        delay(PAUSE_MS)
+        say("continue node-$PAUSED")
+        delay(1_000)
+        balanced.add(PAUSED)
+    }
+
+    private suspend fun load(client: CallerClient) = coroutineScope {
+        repeat(REQUESTS) { index ->
+            delay(LOAD_MS / REQUESTS)
+            launch {
+                if (index % COMMAND_EVERY == 0) command(client, index) else ask(client, index)
+            }
+        }
+    }
+
+    private suspend fun ask(client: CallerClient, index: Int) {
+        val node = balanced.random(random)
+        val sentAtMs = nowMs()
+        val answer = runCatching {
+            client.complete(url(node), KEY, BenchIntent.MODEL, "r $index [out=40]")
+        }.getOrNull()
+        answers += Seen(node, sentAtMs, answer, isCorrect = answer?.text == WHOLE)
+    }
+
+    private suspend fun command(client: CallerClient, index: Int) {
+        val body = """{"command":"$index"}"""
+        val options = CallerClient.Options(idempotencyKey = "command-$index", deadlineMs = 5_000)
+        var verdict = "none"
+        repeat(COMMAND_TRIES) {
+            if (verdict == "Ran") return@repeat
+            val node = balanced.random(random)
+            val sentAtMs = nowMs()
+            val answer = withTimeoutOrNull(COMMAND_PATIENCE_MS) {
+                val address = "${url(node)}/v1/services/${DevCluster.SERVICE_POOL}/gates"
+                runCatching { client.command(address, KEY, body, options) }.getOrNull()
+            }
+            verdict = answer?.verdict ?: "none"
+            if (answer != null) answers += Seen(node, sentAtMs, answer, isCorrect = true)
+            delay(RETRY_MS)
+        }
+        verdicts += verdict
+    }
+
+    private fun report(platform: DevCluster): NodeCrashReport {
+        val received = HashMap<String, Int>()
+        platform.engines.forEach { e ->
+            e.received.forEach { (id, n) -> received.merge(id, n, Int::plus) }
+        }
+        val executed = HashMap<String, Int>()
+        platform.services.forEach { s ->
+            s.executed.forEach { (b, n) -> executed.merge(b, n, Int::plus) }
+        }
+        platform.services.forEach { s ->
+            s.received.forEach { (id, n) -> received.merge(id, n, Int::plus) }
+        }
+        val duplicates = received.values.count { it > 1 } + executed.values.count { it > 1 }
+        val falseNotRun = answers.count {
+            it.answer?.verdict == "NotRun" &&
+                it.answer.requestId in received
+        }
+        val incomplete = answers.count {
+            it.answer?.status == 200 &&
+                (!it.answer.isWhole || !it.isCorrect)
+        }
+        val resumed = maxOf(troubleMs(killedAtMs, KILLED), troubleMs(pausedAtMs, PAUSED))
+        return NodeCrashReport(
+            name = "node-crash",
+            seed = seed,
+            nodeCount = NODES,
+            requests = answers.size,
+            commands = verdicts.size,
+            commandsByVerdict = verdicts.groupingBy { it }.eachCount(),
+            duplicateDispatches = duplicates,
+            falseNotRun = falseNotRun,
+            incompleteAnswers = incomplete,
+            violations = listOfNotNull(
+                "$duplicates duplicate dispatches".takeIf { duplicates > 0 },
+                "$falseNotRun false NotRun".takeIf { falseNotRun > 0 }
+            ),
+            bounds = listOf(
+                Bound.atMost("duplicate dispatches", 0.0, duplicates.toDouble()),
+                Bound.atMost("false NotRun", 0.0, falseNotRun.toDouble()),
+                Bound.atMost("service elsewhere resumes, ms", 3_000.0, resumed)
+            )
+        )
+    }
+
+    /** The time after [failedAtMs] until every later request through living nodes runs. */
+    private fun troubleMs(failedAtMs: Double, failed: Int): Double = answers
+        .filter { it.node != failed && it.node != KILLED }
+        .filter { it.sentAtMs in failedAtMs..failedAtMs + WINDOW_MS && it.answer?.verdict != "Ran" }
+        .maxOfOrNull { it.sentAtMs - failedAtMs } ?: 0.0
+
+    private fun say(words: String) = File(control, "control").appendText("$words\n")
+
+    private fun url(index: Int) = "http://127.0.0.1:${ports[index]}"
+
+    private fun nowMs() = (System.nanoTime() - startedNanos) / 1e6
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private class Seen(
+        val node: Int,
+        val sentAtMs: Double,
+        val answer: CallerAnswer?,
+        val isCorrect: Boolean
+    )
+
+    private companion object {
+        const val NODES = 5
+        const val KILLED = 1
+        const val PAUSED = 2
+        const val CALLER = "crash"
+        val KEY = BenchIntent.keyOf(CALLER)
+        val WHOLE = (0 until 40).joinToString("") { "$it " }
+        const val START_MS = 30_000L
+        const val SETTLE_MS = 3_000L
+        const val POLL_MS = 100L
+        const val BALANCER_MS = 500L
+        const val PAUSE_MS = 11_000L
+        const val LOAD_MS = 25_000L
+        const val REQUESTS = 1_000
+        const val COMMAND_EVERY = 4
+        const val COMMAND_TRIES = 12
+        const val COMMAND_PATIENCE_MS = 1_500L
+        const val RETRY_MS = 250L
+        const val WINDOW_MS = 5_000.0
+    }
+}
--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/PolicyRun.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/PolicyRun.kt
@@ -1,6 +1,8 @@
 package org.bronzetide.bench
 
 import java.lang.management.ManagementFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
@@ -16,7 +18,16 @@
 import org.bronzetide.platform.PlatformClients
 
 /** What an experiment does to a cluster beside the load. */
-internal typealias Disturbance = suspend CoroutineScope.(DevCluster) -> Unit
+internal typealias Disturbance = suspend CoroutineScope.(DevCluster, Findings) -> Unit
+
+/** Figures and violations that a disturbance finds. */
+internal class Findings {
+    /** Figures by name. */
+    val figures = ConcurrentHashMap<String, Double>()
+
+    /** What was violated, in words. */
+    val violations = ConcurrentLinkedQueue<String>()
+}
 
 /** One experiment's set-up, run under one policy after another. */
 internal data class Scenario(
@@ -24,22 +35,27 @@
     val arrivals: List<Arrival>,
     val rules: Map<String, ConfigObject.RuleObject> = emptyMap(),
     val nodeCount: Int = 6,
-    val disturbance: Disturbance = {}
+    val hasRelays: Boolean = false,
+    val disturbance: Disturbance = { _, _ -> }
 )
 
 /** What a run gives beside its report. */
 internal class PolicyResult(
     val report: PolicyReport,
     val outcomes: List<Outcome>,
-    val violations: List<String>
+    val violations: List<String>,
+    val figures: Map<String, Double>
 )
 
 /** Runs a scenario under [policy], with the scheduler's features [without] switched off. */
 internal class PolicyRun(private val policy: String, private val without: List<String>) {
     suspend fun run(scenario: Scenario): PolicyResult {
-        val cluster = DevCluster(scenario.fleet.engines, SERVICES, scenario.nodeCount) {
-            it.copy(policy = policy, without = without)
-        }
+        val cluster = DevCluster(
+            scenario.fleet.engines,
+            SERVICES,
+            scenario.nodeCount,
+            scenario.hasRelays
+        ) { it.copy(policy = policy, without = without) }
         cluster.use {
             PlatformClients.create().use { http ->
                 cluster.start()
@@ -73,11 +89,13 @@
         runner: LoadRunner,
         scenario: Scenario
     ): PolicyResult {
+        val findings = Findings()
         val bytesBefore = cluster.nodes.sumOf { it.controlBytesSent }
         val cpuBefore = controlCpuNanos()
         val startedNanos = System.nanoTime()
         val outcomes = coroutineScope {
-            val disturbance = launch(Dispatchers.Default) { scenario.disturbance(this, cluster) }
+            val disturbance =
+                launch(Dispatchers.Default) { scenario.disturbance(this, cluster, findings) }
             runner.run(scenario.arrivals).also { disturbance.join() }
         }
         val seconds = (System.nanoTime() - startedNanos) / 1e9
@@ -87,6 +105,7 @@
         System.err.println(
             "$policy: load of ${scenario.arrivals.size} requests took ${"%.1f".format(seconds)} s"
         )
+        val counted = cluster.nodes.sumOf { it.shedInversionCount() }
         val violations = settle(cluster)
         System.err.println(
             "$policy: settled after ${"%.1f".format(
@@ -95,8 +114,16 @@
         )
         val scorer =
             Scorer(outcomes, cluster.engines, cluster.services, cluster.store, startedNanos)
-        val report = scorer.report(bytes / nodeSeconds, cpu / 1e9 / nodeSeconds)
-        return PolicyResult(report, outcomes, violations + invariants(report))
+        val seen = scorer.report(bytes / nodeSeconds, cpu / 1e9 / nodeSeconds)
+        val report = if (policy ==
+            Policies.BRONZETIDE
+        ) {
+            seen.copy(shedInversions = counted)
+        } else {
+            seen
+        }
+        val found = violations + findings.violations + invariants(report)
+        return PolicyResult(report, outcomes, found, findings.figures)
     }
 
     private suspend fun settle(cluster: DevCluster): List<String> {
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/SlopesExperiment.kt
@@ -0,0 +1,243 @@
+package org.bronzetide.bench
+
+import java.lang.management.ManagementFactory
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import org.bronzetide.cli.CallerClient
+import org.bronzetide.cli.DevCluster
+import org.bronzetide.cli.OperatorClient
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.model.CallerId
+import org.bronzetide.model.ConfigObject
+import org.bronzetide.model.Intent
+import org.bronzetide.model.Jsons
+import org.bronzetide.model.TargetId
+import org.bronzetide.model.Tier
+import org.bronzetide.platform.PlatformClients
+import org.bronzetide.scheduling.Decision
+import org.bronzetide.scheduling.PoolPolicy
+import org.bronzetide.scheduling.PoolScheduler
+import org.bronzetide.scheduling.Release
+import org.bronzetide.scheduling.ReleaseOutcome
+import org.bronzetide.scheduling.TargetSpec
+import org.bronzetide.scheduling.Ticket
+import org.bronzetide.scheduling.TicketId
+import org.bronzetide.standins.EngineProfile
+
+/** The slopes that the capacity page is worked out from. */
+@Serializable
+internal data class SlopesReport(
+    val name: String,
+    val seed: Long,
+    /** An idle cluster by its number of nodes. */
+    val idleByNodes: List<IdlePoint>,
+    /** The control bytes of a node for each request that entered it. */
+    val controlBytesPerRequest: Double,
+    /** The control thread's time for each request, in microseconds, all roles together. */
+    val controlCpuUsPerRequest: Double,
+    /** The bytes that a node sends for each change of the configuration. */
+    val controlBytesPerChange: Double,
+    /** The object store's calls a second of the idle cluster of the last point. */
+    val storeCallsPerSecond: Double,
+    /** The time of one decision by the number of queued tickets. */
+    val decisions: List<DecisionPoint>
+) {
+    /** An idle node in a cluster of [nodes]. */
+    @Serializable
+    data class IdlePoint(
+        val nodes: Int,
+        val controlBytesPerNodeSecond: Double,
+        val controlCpuFraction: Double,
+        val heapBytesPerNode: Double
+    )
+
+    /** A decision: enroll, grant and release of one ticket among [queued] waiting ones. */
+    @Serializable
+    data class DecisionPoint(
+        val queued: Int,
+        val targets: Int,
+        val callers: Int,
+        val microseconds: Double
+    )
+}
+
+/** Measures what grows with nodes, requests, changes and queued tickets. */
+internal class SlopesExperiment(private val seed: Long) {
+    private var storeCallsPerSecond = 0.0
+
+    suspend fun run(): SlopesReport {
+        val idle = listOf(3, 6, 12, 24).map { idlePoint(it) }
+        val (bytes, cpu) = perRequest()
+        return SlopesReport(
+            name = "slopes",
+            seed = seed,
+            idleByNodes = idle,
+            controlBytesPerRequest = bytes,
+            controlCpuUsPerRequest = cpu,
+            controlBytesPerChange = perChange(),
+            storeCallsPerSecond = storeCallsPerSecond,
+            decisions = listOf(100, 1_000, 10_000).map { decisionPoint(it) }
+        )
+    }
+
+    private suspend fun idlePoint(nodes: Int): SlopesReport.IdlePoint {
+        val heapBefore = usedHeap()
+        return DevCluster(
+            listOf(EngineProfile()),
+            serviceCount = 1,
+            nodeCount = nodes
+        ).use { cluster ->
+            cluster.start()
+            delay(SETTLE_MS)
+            val heap = (usedHeap() - heapBefore) / nodes
+            val reads = cluster.store.reads.get() + cluster.store.writes.get()
+            val sample = sample(cluster) { delay(SAMPLE_MS) }
+            val calls = cluster.store.reads.get() + cluster.store.writes.get() - reads
+            storeCallsPerSecond = calls * 1_000.0 / SAMPLE_MS
+            SlopesReport.IdlePoint(nodes, sample.bytesPerNodeSecond, sample.cpuFraction, heap)
+        }
+    }
+
+    private suspend fun perRequest(): Pair<Double, Double> =
+        DevCluster(List(4) { EngineProfile(stepMs = 0.1) }, 1, nodeCount = 6).use { cluster ->
+            PlatformClients.create().use { http ->
+                cluster.start()
+                val operator = OperatorClient(http, cluster.url(0), DevCluster.OPERATOR_KEY)
+                confirm(operator, BenchIntent.of(listOf(CALLER), speedup = 1.0))
+                delay(SETTLE_MS)
+                val client = CallerClient(http)
+                val idle = sample(cluster) { delay(SAMPLE_MS) }
+                val busy = sample(cluster) {
+                    repeat(REQUESTS) {
+                        client.complete(
+                            cluster.url(it),
+                            BenchIntent.keyOf(CALLER),
+                            BenchIntent.MODEL,
+                            "[out=4]"
+                        )
+                    }
+                }
+                val bytes = busy.bytes - idle.bytesPerNodeSecond * busy.nodeSeconds
+                val cpu = busy.cpuNanos - idle.cpuFraction * 1e9 * busy.nodeSeconds
+                bytes / REQUESTS to cpu / 1e3 / REQUESTS
+            }
+        }
+
+    private suspend fun perChange(): Double =
+        DevCluster(listOf(EngineProfile()), 1, nodeCount = 6).use { cluster ->
+            PlatformClients.create().use { http ->
+                cluster.start()
+                val operator = OperatorClient(http, cluster.url(0), DevCluster.OPERATOR_KEY)
+                confirm(operator, BenchIntent.of(listOf(CALLER), speedup = 1.0))
+                delay(SETTLE_MS)
+                val idle = sample(cluster) { delay(SAMPLE_MS) }
+                val busy = sample(cluster) {
+                    repeat(CHANGES) {
+                        val rule = ConfigObject.RuleObject(
+                            caller = CALLER,
+                            deadlineMs = 1_000L + it
+                        )
+                        val version = confirm(operator, Intent(rules = mapOf("slope" to rule)))
+                        withTimeoutOrNull(SPREAD_MS) {
+                            while (cluster.nodes.any { node ->
+                                    node.configurationVersion < version
+                                }
+                            ) {
+                                delay(5)
+                            }
+                        }
+                    }
+                }
+                (busy.bytes - idle.bytesPerNodeSecond * busy.nodeSeconds) / CHANGES /
+                    cluster.nodes.size
+            }
+        }
+
+    private suspend fun confirm(operator: OperatorClient, intent: Intent): Long {
+        val text = Jsons.settings.encodeToString(Intent.serializer(), intent)
+        return operator.confirm(requireNotNull(operator.plan(text).plan)).version
+    }
+
+    private suspend fun sample(cluster: DevCluster, work: suspend () -> Unit): Sample {
+        val bytes = cluster.nodes.sumOf { it.controlBytesSent }
+        val cpu = controlCpuNanos()
+        val startedNanos = System.nanoTime()
+        work()
+        val seconds = (System.nanoTime() - startedNanos) / 1e9
+        return Sample(
+            bytes = (cluster.nodes.sumOf { it.controlBytesSent } - bytes).toDouble(),
+            cpuNanos = (controlCpuNanos() - cpu).toDouble(),
+            nodeSeconds = seconds * cluster.nodes.size
+        )
+    }
+
+    private class Sample(val bytes: Double, val cpuNanos: Double, val nodeSeconds: Double) {
+        val bytesPerNodeSecond: Double get() = bytes / nodeSeconds
+        val cpuFraction: Double get() = cpuNanos / 1e9 / nodeSeconds
+    }
+
+    private fun decisionPoint(queued: Int): SlopesReport.DecisionPoint {
+        val scheduler = PoolScheduler(
+            PoolPolicy(
+                concurrencyPerTarget = 8,
+                maxQueued =
+                queued + TARGETS * 40
+            )
+        )
+        scheduler.updateTargets(List(TARGETS) { TargetSpec(TargetId("t$it")) })
+        var sequence = 0L
+        fun enroll() = scheduler.enroll(ticket(sequence++), nowMs = 0)
+        repeat(queued + TARGETS * 8) { enroll() }
+        val running = ArrayDeque(scheduler.decide(0).map { it.ticket.id })
+        repeat(DECISIONS) { turn(scheduler, running) { enroll() } }
+        val startedNanos = System.nanoTime()
+        repeat(DECISIONS) { turn(scheduler, running) { enroll() } }
+        val microseconds = (System.nanoTime() - startedNanos) / 1e3 / DECISIONS
+        return SlopesReport.DecisionPoint(queued, TARGETS, CALLERS, microseconds)
+    }
+
+    private fun turn(scheduler: PoolScheduler, running: ArrayDeque<TicketId>, enroll: () -> Unit) {
+        enroll()
+        val release = Release(ReleaseOutcome.FINISHED, 200, 60, firstTokenMs = 20, durationMs = 900)
+        scheduler.release(running.removeFirst(), release, nowMs = 0)
+        scheduler.decide(nowMs = 0).forEach {
+            if (it is Decision.Grant) running.addLast(it.ticket.id)
+        }
+    }
+
+    private fun ticket(sequence: Long) = Ticket(
+        id = TicketId(NodeId("n${sequence % 2_100}"), sequence),
+        tier = Tier(1 + (sequence % 4).toInt()),
+        caller = CallerId("c${sequence * 7_919 % CALLERS}"),
+        operation = "short",
+        promptTokens = 100 + (sequence % 200).toInt(),
+        maxOutputTokens = 256,
+        prefixHash = sequence % 500,
+        deadlineAtMs = 1_000_000
+    )
+
+    private fun controlCpuNanos(): Long {
+        val threads = ManagementFactory.getThreadMXBean()
+        return threads.getThreadInfo(threads.allThreadIds)
+            .filter { it != null && it.threadName.startsWith("control") }
+            .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) }
+    }
+
+    private fun usedHeap(): Double {
+        repeat(2) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }.toDouble()
+    }
+
+    private companion object {
+        const val CALLER = "slopes"
+        const val SETTLE_MS = 3_000L
+        const val SAMPLE_MS = 4_000L
+        const val SPREAD_MS = 5_000L
+        const val REQUESTS = 600
+        const val CHANGES = 20
+        const val TARGETS = 512
+        const val CALLERS = 7_000
+        const val DECISIONS = 20_000
+    }
+}
--- a/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/DevCluster.kt
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/DevCluster.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.cli
 
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import org.bronzetide.node.Node
@@ -13,12 +14,14 @@
 import org.bronzetide.standins.HostListStandIn
 import org.bronzetide.standins.ObjectApiStandIn
 import org.bronzetide.standins.ServiceStandIn
+import org.bronzetide.standins.SilentRelay
 
 /** Nodes and stand-ins in one process, for first steps and experiments. */
 class DevCluster(
     profiles: List<EngineProfile>,
     serviceCount: Int,
     private val nodeCount: Int,
+    private val hasRelays: Boolean = false,
     private val adjust: (Settings) -> Settings = { it }
 ) : AutoCloseable {
     /** The platform's Object API. */
@@ -33,15 +36,21 @@
     /** The replicas of the pool `guide-api`. */
     val services = List(serviceCount) { ServiceStandIn() }
 
+    /** What stands between nodes and their targets and peers, if anything. */
+    val relays = ArrayList<SilentRelay>()
+
     /** The nodes that run now. */
-    val nodes = ArrayList<Node>()
+    val nodes = CopyOnWriteArrayList<Node>()
 
     init {
         hostList.update { Hosts(targets = engineHosts() + serviceHosts()) }
     }
 
-    /** The base URL of node [index]. */
-    fun url(index: Int): String = "http://127.0.0.1:${nodes[index % nodes.size].port}"
+    /** The base URL of the ready node [index], counted round. */
+    fun url(index: Int): String {
+        val ready = nodes.toList().filter { it.isReady }.ifEmpty { nodes }
+        return "http://127.0.0.1:${ready[index % ready.size].port}"
+    }
 
     /** Starts all nodes and waits until they are ready and know each other. */
     suspend fun start() {
@@ -53,10 +62,14 @@
 
     /** Starts a node named after [index]. */
     fun addNode(index: Int): Node {
-        val node = Node(adjust(settings(index)))
+        val relay = if (hasRelays) SilentRelay().also { relays += it } else null
+        val settings = settings(index).copy(advertisedPeerPort = relay?.port ?: 0)
+        val node = Node(adjust(settings))
+        relay?.targetPort = node.peerPort
         node.start()
         nodes += node
-        val host = NodeHost("node-$index", "127.0.0.1", node.peerPort, zoneOf(index))
+        val port = relay?.port ?: node.peerPort
+        val host = NodeHost("node-$index", "127.0.0.1", port, zoneOf(index))
         hostList.update { list ->
             list.copy(
                 nodes =
@@ -83,16 +96,25 @@
         nodes.forEach { it.close() }
         engines.forEach { it.close() }
         services.forEach { it.close() }
+        relays.forEach { it.close() }
         hostList.close()
         store.close()
     }
 
     private fun engineHosts() = engines.mapIndexed { index, engine ->
-        TargetHost("engine-$index", MODEL_POOL, "127.0.0.1", engine.port, zoneOf(index))
+        TargetHost("engine-$index", MODEL_POOL, "127.0.0.1", relayed(engine.port), zoneOf(index))
     }
 
     private fun serviceHosts() = services.mapIndexed { index, service ->
-        TargetHost("guide-$index", SERVICE_POOL, "127.0.0.1", service.port, zoneOf(index))
+        TargetHost("guide-$index", SERVICE_POOL, "127.0.0.1", relayed(service.port), zoneOf(index))
+    }
+
+    private fun relayed(port: Int): Int {
+        if (!hasRelays) return port
+        return SilentRelay().also {
+            it.targetPort = port
+            relays += it
+        }.port
     }
 
     private fun zoneOf(index: Int) = ZONES[index % ZONES.size]
--- /dev/null
+++ b/bronzetide-cli/src/test/kotlin/org/bronzetide/cli/ClusterHistoryTest.kt
@@ -0,0 +1,188 @@
+package org.bronzetide.cli
+
+import kotlin.random.Random
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import net.jqwik.api.Example
+import org.bronzetide.standins.StoreFault
+
+/** Records concurrent runs of real nodes and checks their requests, dispatches and answers. */
+class ClusterHistoryTest {
+    @Example
+    fun `each request runs once and every caller gets its own whole answer`() =
+        TestCluster.run(4) { test ->
+            val random = Random(7)
+            val asked = List(120) { 4 + random.nextInt(40) }
+            val answers = coroutineScope {
+                asked.mapIndexed { index, tokens ->
+                    async {
+                        delay(random.nextLong(1_500))
+                        test.complete(index % 4, "request $index [out=$tokens]")
+                    }
+                }.awaitAll()
+            }
+            answers.zip(asked).forEach { (answer, tokens) ->
+                check(answer.isWhole && answer.text == text(tokens)) { "$answer" }
+            }
+            checkDispatches(test, answers)
+            checkLedger(test)
+        }
+
+    @Example
+    fun `a node that dies loses only its own requests and no refusal is false`() =
+        TestCluster.run(4) { test ->
+            val answers = coroutineScope {
+                launch {
+                    delay(600)
+                    test.cluster.nodes[3].close()
+                }
+                List(80) { index ->
+                    async {
+                        delay(index * 20L)
+                        val node = test.cluster.nodes[index % 4]
+                        val url = "http://127.0.0.1:${node.port}"
+                        runCatching {
+                            test.caller.complete(
+                                url,
+                                TestCluster.KEY,
+                                TestCluster.MODEL,
+                                "r $index [out=30]"
+                            )
+                        }.getOrNull().let { index to it }
+                    }
+                }.awaitAll()
+            }
+            val elsewhere = answers.filter { it.first % 4 != 3 }.map { it.second }
+            check(elsewhere.all { it != null && it.isWhole }) { "lost elsewhere: $elsewhere" }
+            checkDispatches(test, answers.mapNotNull { it.second })
+        }
+
+    @Example
+    fun `a command retried through other hosts runs once`() = TestCluster.run(4) { test ->
+        val commands = List(20) { """{"ruling":$it}""" }
+        val answers = coroutineScope {
+            commands.flatMapIndexed { index, body ->
+                List(3) { attempt ->
+                    async {
+                        delay(attempt * 15L)
+                        test.command(index + attempt, "ruling-$index", body)
+                    }
+                }
+            }.awaitAll()
+        }
+        check(answers.all { it.verdict == "Ran" }) { "${answers.filter { it.verdict != "Ran" }}" }
+        commands.forEach { body ->
+            val runs = test.cluster.services.sumOf { it.executed[body] ?: 0 }
+            check(runs == 1) { "$body ran $runs times" }
+        }
+    }
+
+    @Example
+    fun `keys survive the death of their owner`() = TestCluster.run(4) { test ->
+        val commands = List(24) { """{"ruling":$it}""" }
+        commands.forEachIndexed { index, body -> test.command(0, "ruling-$index", body) }
+        val dead = test.cluster.nodes[3]
+        dead.close()
+        test.cluster.nodes.remove(dead)
+        commands.forEachIndexed { index, body ->
+            var answer = test.command(index, "ruling-$index", body)
+            repeat(100) {
+                if (answer.verdict == "Ran") return@repeat
+                check(answer.verdict == "NotRun") { "$answer" }
+                delay(100)
+                answer = test.command(index, "ruling-$index", body)
+            }
+            check(answer.verdict == "Ran" && answer.isReplayed) { "$answer" }
+            check(test.cluster.services.sumOf { it.executed[body] ?: 0 } == 1)
+        }
+    }
+
+    @Example
+    fun `a key that was used with another request is refused`() = TestCluster.run(2) { test ->
+        test.command(0, "same", """{"a":1}""")
+        val other = test.command(1, "same", """{"a":2}""")
+        check(other.status == 409 && other.verdict == "NotRun") { "$other" }
+        check(test.cluster.services.sumOf { it.executed["""{"a":2}"""] ?: 0 } == 0)
+    }
+
+    @Example
+    fun `streams survive connections that go silent`() =
+        TestCluster.run(2, hasRelays = true) { test ->
+            val answers = coroutineScope {
+                launch {
+                    delay(500)
+                    test.cluster.relays.forEach { it.silence() }
+                }
+                List(10) { async { test.complete(it, "r $it [out=250]", long) } }.awaitAll()
+            }
+            answers.forEach { check(it.isWhole && it.text == text(250)) { "$it" } }
+            checkDispatches(test, answers)
+        }
+
+    @Example
+    fun `a planned stop cuts off nothing and closes the ledger`() = TestCluster.run(3) { test ->
+        val leaving = test.cluster.nodes[0]
+        val answers = coroutineScope {
+            launch {
+                delay(300)
+                check(leaving.drain())
+            }
+            val url = "http://127.0.0.1:${leaving.port}"
+            List(20) {
+                async {
+                    test.caller.complete(
+                        url,
+                        TestCluster.KEY,
+                        TestCluster.MODEL,
+                        "r $it [out=200]",
+                        long
+                    )
+                }
+            }.awaitAll()
+        }
+        check(answers.all { it.isWhole }) { "${answers.filter { !it.isWhole }}" }
+        test.cluster.nodes.remove(leaving)
+        leaving.close()
+        check(test.operator(1).invoice(TestCluster.CALLER).unclosedNodes.isEmpty())
+    }
+
+    @Example
+    fun `the store's outage stops no request and loses no line`() = TestCluster.run(3) { test ->
+        val answers = ArrayList<CallerAnswer>()
+        listOf(StoreFault.Down, StoreFault.LosesAnswers, StoreFault.None).forEach { fault ->
+            test.cluster.store.fault = fault
+            repeat(10) { answers += test.complete(it, "r $it [out=10]") }
+            delay(400)
+        }
+        check(answers.all { it.isWhole })
+        checkLedger(test)
+    }
+
+    private fun checkDispatches(test: TestCluster, answers: List<CallerAnswer>) {
+        val received = test.received()
+        check(
+            received.values.all {
+                it == 1
+            }
+        ) { "dispatched twice: ${received.filterValues { it > 1 }}" }
+        val falseRefusals = answers.filter { it.verdict == "NotRun" && it.requestId in received }
+        check(falseRefusals.isEmpty()) { "said not run, but ran: $falseRefusals" }
+    }
+
+    private suspend fun checkLedger(test: TestCluster) {
+        val received = test.received().keys
+        test.await("ledger") {
+            test.operator().invoice(TestCluster.CALLER).lines.size >= received.size
+        }
+        val invoice = test.operator().invoice(TestCluster.CALLER)
+        check(invoice.lines.map { it.requestId.value }.sorted() == received.sorted())
+        check(invoice.totals.outputTokens == invoice.lines.sumOf { it.outputTokens.toLong() })
+    }
+
+    private fun text(tokens: Int) = (0 until tokens).joinToString("") { "$it " }
+
+    private val long = CallerClient.Options(maxTokens = 400)
+}
--- /dev/null
+++ b/bronzetide-cli/src/test/kotlin/org/bronzetide/cli/OperatorPathTest.kt
@@ -0,0 +1,65 @@
+package org.bronzetide.cli
+
+import net.jqwik.api.Example
+import org.bronzetide.model.ConfigObject
+import org.bronzetide.model.Intent
+import org.bronzetide.model.Jsons
+import org.bronzetide.standins.StoreFault
+
+class OperatorPathTest {
+    @Example
+    fun `racing plans on one object give one confirm and one conflict`() =
+        TestCluster.run(2) { test ->
+            val first = plan(test, 0, deadlineMs = 11_000)
+            val second = plan(test, 1, deadlineMs = 12_000)
+            check(test.operator(0).confirm(first).result == "confirmed")
+            val refused = test.operator(1).confirm(second)
+            check(
+                refused.result == "conflict" && refused.differences.single().name == "tier/urgent"
+            )
+            check(test.operator(1).confirm(first).result == "already-done")
+        }
+
+    @Example
+    fun `a confirm whose answer was lost is read back`() = TestCluster.run(2) { test ->
+        val plan = plan(test, 0, deadlineMs = 11_000)
+        test.cluster.store.fault = StoreFault.LosesAnswers
+        check(test.operator().confirm(plan).result == "confirmed")
+        test.cluster.store.fault = StoreFault.None
+        check(test.operator().confirm(plan).result == "already-done")
+    }
+
+    @Example
+    fun `a confirm during an outage changes nothing and says so`() = TestCluster.run(1) { test ->
+        val plan = plan(test, 0, deadlineMs = 11_000)
+        val before = test.cluster.store.peek("bronzetide/config")
+        test.cluster.store.fault = StoreFault.Down
+        check(test.operator().confirm(plan).result == "unavailable")
+        check(test.cluster.store.peek("bronzetide/config") == before)
+    }
+
+    @Example
+    fun `a node that starts in an outage takes the newest configuration from its peers`() =
+        TestCluster.run(3) { test ->
+            val confirmed = test.operator().confirm(plan(test, 0, deadlineMs = 11_000))
+            test.await("spread") {
+                test.cluster.nodes.all {
+                    it.configurationVersion ==
+                        confirmed.version
+                }
+            }
+            test.cluster.store.fault = StoreFault.Down
+            val fresh = test.cluster.addNode(9)
+            test.await("ready") { fresh.isReady }
+            check(fresh.configurationVersion == confirmed.version)
+        }
+
+    private suspend fun plan(test: TestCluster, node: Int, deadlineMs: Long) = requireNotNull(
+        test.operator(node).plan(
+            Jsons.settings.encodeToString(
+                Intent.serializer(),
+                Intent(tiers = mapOf("urgent" to ConfigObject.TierObject(1, deadlineMs)))
+            )
+        ).plan
+    )
+}
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
@@ -52,7 +52,14 @@
     private val board = Blackboard()
     private val peers = Peers(settings.host, settings.peerPort, settings.clusterKey, self, control)
     private val membership = Membership(
-        Member(self, settings.zone, settings.host, peers.port, startedAtMs, MemberState.ALIVE),
+        Member(
+            self,
+            settings.zone,
+            settings.host,
+            advertisedPort(),
+            startedAtMs,
+            MemberState.ALIVE
+        ),
         clock,
         Random(self.hashCode())
     )
@@ -76,6 +83,9 @@
     private var viewVersion = -1L
     private var knownDead = emptySet<NodeId>()
 
+    private fun advertisedPort(): Int =
+        if (settings.advertisedPeerPort == 0) peers.port else settings.advertisedPeerPort
+
     /** What traffic may read. */
     val view = ClusterView(board)
 
@@ -99,7 +109,7 @@
         peers::send
     )
 
-    /** The port for peers. */
+    /** The port for peers, before anything that stands between. */
     val peerPort: Int get() = peers.port
 
     /** The bytes sent to peers. */
@@ -142,6 +152,9 @@
         others && (arbiters.ticketCount > 0 || ownsSlots)
     }
 
+    /** The shed inversions of the arbiters that ran here. */
+    suspend fun shedInversionCount(): Int = control.call { arbiters.shedInversionCount }
+
     /** Takes a configuration that was just confirmed through this node. */
     suspend fun offerConfiguration(configuration: Configuration) = control.call {
         documents.offer(SharedDocument.CONFIG, configuration.toDocument())
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Node.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Node.kt
@@ -89,6 +89,9 @@
     /** The version of the configuration that is in force here. */
     val configurationVersion: Long get() = cluster.view.configuration.version
 
+    /** The requests refused by arbiters here after a lower tier got a turn in their wait. */
+    suspend fun shedInversionCount(): Int = cluster.shedInversionCount()
+
     /** The requests inside the node. */
     val requestCount: Int get() = gate.count
 
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Settings.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Settings.kt
@@ -24,6 +24,8 @@
     val httpThreads: Int = 0,
     /** The port for peers; 0 picks a free one. */
     val peerPort: Int = 8081,
+    /** The port that peers are told, where something stands between; 0 tells them the own one. */
+    val advertisedPeerPort: Int = 0,
     /** The base URL of the platform's Object API. */
     val objectApiUrl: String,
     /** The base URL of the platform's host list. */
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/SettingsChecker.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/SettingsChecker.kt
@@ -35,6 +35,9 @@
     private fun numberFaults(settings: Settings) = listOfNotNull(
         fault("port", "must be from 0 to $MAX_PORT") { settings.port in 0..MAX_PORT },
         fault("peerPort", "must be from 0 to $MAX_PORT") { settings.peerPort in 0..MAX_PORT },
+        fault("advertisedPeerPort", "must be from 0 to $MAX_PORT") {
+            settings.advertisedPeerPort in 0..MAX_PORT
+        },
         fault("httpThreads", "must be from 0 to 1024") { settings.httpThreads in 0..1_024 },
         fault("maxBodyBytes", "must be positive") { settings.maxBodyBytes > 0 },
         fault("bodyTimeoutMs", "must be positive") { settings.bodyTimeoutMs > 0 },
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/Arbiters.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/turns/Arbiters.kt
@@ -38,6 +38,9 @@
     /** The schedulers by shard, for display. */
     val schedulers: Map<PoolShard, PoolScheduler> get() = arbiters.mapValues { it.value.scheduler }
 
+    /** The shed inversions that the schedulers counted. */
+    val shedInversionCount: Int get() = arbiters.values.sumOf { it.scheduler.shedInversionCount }
+
     /** The tickets that wait or run under this node's arbiters. */
     val ticketCount: Int
         get() = arbiters.values.sumOf { it.scheduler.queuedCount + it.scheduler.runningCount }
--- /dev/null
+++ b/bronzetide-node/src/test/kotlin/org/bronzetide/node/SettingsTest.kt
@@ -0,0 +1,70 @@
+package org.bronzetide.node
+
+import java.io.File
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import net.jqwik.api.Example
+
+class SettingsTest {
+    @Example
+    fun `settings may hold comments`() {
+        val text = """
+            {
+              // the first of six
+              "name": "node-1", "zone": "osijek-a",
+              "objectApiUrl": "http://10.0.0.1", "hostListUrl": "http://10.0.0.2",
+              "clusterKey": "sixteen-characters",
+            }
+        """.trimIndent()
+        val result = Settings.parse(text)
+        check(result is SettingsResult.Valid && result.settings.name == "node-1") { "$result" }
+    }
+
+    @Example
+    fun `every fault of the structure is named`() {
+        val urls = """"objectApiUrl": "u", "hostListUrl": "u""""
+        val text = """{"name": 5, "port": "x", "what": 1, $urls}"""
+        val faults = (Settings.parse(text) as SettingsResult.Invalid).faults
+        val expected = setOf("name", "port", "what", "zone", "clusterKey")
+        check(faults.map { it.place }.toSet() == expected) { "$faults" }
+    }
+
+    @Example
+    fun `every fault of the values is named`() {
+        val text = """
+            {"name": "Bad Name", "zone": "", "objectApiUrl": "ftp://x", "hostListUrl": "http://x",
+             "clusterKey": "short", "port": 99999, "policy": "best", "without": ["nothing"]}
+        """.trimIndent()
+        val faults = (Settings.parse(text) as SettingsResult.Invalid).faults
+        val expected =
+            setOf("name", "zone", "objectApiUrl", "clusterKey", "port", "policy", "without[0]")
+        check(faults.map { it.place }.toSet() == expected) { "$faults" }
+    }
+
+    @Example
+    fun `text that is not JSON is one fault`() {
+        check((Settings.parse("{") as SettingsResult.Invalid).faults.size == 1)
+    }
+}
+
+class SettingsReferenceTest {
+    @Example
+    fun `the reference names every setting with its default`() {
+        val rows = File("../docs/operations/settings.md").readLines()
+            .mapNotNull { row.find(it) }
+            .associate { it.groupValues[1] to it.groupValues[2] }
+        check(rows.keys == Settings.serializer().descriptor.elementNames.toSet()) { "${rows.keys}" }
+        check(rows.filterValues { it == "required" }.keys == required.toSet())
+        val minimal = Settings("n", "z", objectApiUrl = "u", hostListUrl = "u", clusterKey = "k")
+        val json = Json { encodeDefaults = true }
+        val defaults = json.encodeToJsonElement(Settings.serializer(), minimal).jsonObject
+        (rows - required.toSet()).forEach { (name, shown) ->
+            val value = defaults.getValue(name).toString().trim('"')
+            check(shown.trim('`') == value) { "$name is shown as $shown, but is $value" }
+        }
+    }
+
+    private val row = Regex("""\| `(\w+)` \| (\S+) \|.*""")
+    private val required = listOf("name", "zone", "objectApiUrl", "hostListUrl", "clusterKey")
+}
--- /dev/null
+++ b/bronzetide-node/src/test/kotlin/org/bronzetide/node/peer/PeerHandshakeTest.kt
@@ -0,0 +1,30 @@
+package org.bronzetide.node.peer
+
+import net.jqwik.api.Example
+import org.bronzetide.coordination.NodeId
+
+class PeerHandshakeTest {
+    private val dialer = PeerHandshake("the cluster's key", NodeId("a"))
+    private val listener = PeerHandshake("the cluster's key", NodeId("b"))
+    private val stranger = PeerHandshake("another key", NodeId("a"))
+
+    @Example
+    fun `two holders of the key accept each other`() {
+        val hello = dialer.hello()
+        val challenge = listener.challenge(hello)
+        check(listener.verify(hello, challenge, dialer.prove(hello, challenge)!!))
+    }
+
+    @Example
+    fun `a dialer refuses a listener without the key`() {
+        val hello = stranger.hello()
+        check(stranger.prove(hello, listener.challenge(hello)) == null)
+    }
+
+    @Example
+    fun `a listener refuses a proof of an earlier handshake`() {
+        val hello = dialer.hello()
+        val proof = dialer.prove(hello, listener.challenge(hello))!!
+        check(!listener.verify(hello, listener.challenge(hello), proof))
+    }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Feature.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Feature.kt
@@ -26,6 +26,9 @@
     /** Routing to the target that has the prompt's beginning in its cache. */
     PREFIX_AFFINITY("prefix-affinity"),
 
+    /** Long requests together on few targets, so that short ones find others unloaded. */
+    PACKING("packing"),
+
     /** Places that only the two most urgent tiers may take. */
     HEADROOM("headroom"),
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/OutputEstimator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/OutputEstimator.kt
@@ -7,6 +7,12 @@
     private val byCaller = HashMap<Pair<CallerId, String>, Average>()
     private val byOperation = HashMap<String, Average>()
 
+    /** The fewest tokens that [ticket] may be taken to generate: 1 until its kind is known. */
+    public fun certainTokens(ticket: Ticket): Int {
+        val isKnown = (byOperation[ticket.operation]?.count ?: 0) >= MIN_SAMPLES
+        return if (isKnown && isLearning) expectedTokens(ticket) else 1
+    }
+
     /** The expected output of [ticket] in tokens, at least 1 and at most what it allows. */
     public fun expectedTokens(ticket: Ticket): Int {
         if (!isLearning) return ticket.maxOutputTokens.coerceAtLeast(1)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
@@ -21,6 +21,10 @@
     private val estimator = OutputEstimator(Feature.ESTIMATES in policy)
     private val running = LinkedHashMap<TicketId, Running>()
 
+    /** The tickets refused for want of room or time after a lower tier got a turn in their wait. */
+    public var shedInversionCount: Int = 0
+        private set
+
     /** The number of waiting tickets. */
     public val queuedCount: Int get() = queue.size
 
@@ -53,7 +57,7 @@
         val outputTokens = estimator.expectedTokens(ticket)
         val tokens = (ticket.promptTokens + outputTokens).toDouble()
         admissionFault(ticket, tokens, nowMs)?.let { return listOf(it) }
-        val latestStartMs = latestStartMs(ticket, outputTokens)
+        val latestStartMs = latestStartMs(ticket, estimator.certainTokens(ticket))
         if (latestStartMs < nowMs) {
             limiter.end(ticket.caller, -tokens, nowMs)
             return listOf(
@@ -116,13 +120,13 @@
             decisions += refuseLate(late, nowMs)
         }
         while (true) {
-            decisions += grantNext() ?: break
+            decisions += grantNext(nowMs) ?: break
         }
         return decisions
     }
 
-    private fun grantNext(): Decision? =
-        targets.lowestTierWithRoom()?.let { queue.next(it) }?.let { grant(it) }
+    private fun grantNext(nowMs: Long): Decision? =
+        targets.lowestTierWithRoom()?.let { queue.next(it) }?.let { grant(it, nowMs) }
 
     private fun prefilled(run: Running) {
         if (run.isPrefilled) return
@@ -141,12 +145,13 @@
 
     private fun latestStartMs(ticket: Ticket, outputTokens: Int): Long {
         if (Feature.FEASIBILITY !in policy) return ticket.deadlineAtMs
-        return ticket.deadlineAtMs - targets.typicalMs(ticket.promptTokens, outputTokens).toLong()
+        return ticket.deadlineAtMs - targets.fastestMs(ticket.promptTokens, outputTokens).toLong()
     }
 
     private fun shedFor(ticket: Ticket, tokens: Double, nowMs: Long): Decision.Refuse {
         val victim = queue.victimFor(ticket, tokens)
         if (victim != null) {
+            countInversion(victim)
             withdraw(victim.ticket.id, nowMs)
         } else {
             limiter.end(ticket.caller, -tokens, nowMs)
@@ -155,16 +160,33 @@
         return Decision.Refuse(shed, RefusalReason.SHED, retryAfterMs(shed.tier))
     }
 
+    private fun countInversion(entry: QueuedTicket) {
+        if (queue.wasOvertaken(entry)) shedInversionCount++
+    }
+
     private fun refuseLate(entry: QueuedTicket, nowMs: Long): Decision {
+        countInversion(entry)
         withdraw(entry.ticket.id, nowMs)
         val retryMs = retryAfterMs(entry.ticket.tier)
         return Decision.Refuse(entry.ticket, RefusalReason.DEADLINE, retryMs)
     }
 
-    private fun grant(entry: QueuedTicket): Decision? {
+    private fun grant(entry: QueuedTicket, nowMs: Long): Decision? {
         val ticket = entry.ticket
-        val target = targets.choose(ticket, estimator.expectedTokens(ticket)) ?: return null
+        val outputTokens = estimator.expectedTokens(ticket)
+        val target = targets.choose(ticket, outputTokens) ?: return null
+        val certainTokens = estimator.certainTokens(ticket)
+        if (!targets.isFeasible(
+                target,
+                ticket,
+                certainTokens,
+                nowMs
+            )
+        ) {
+            return refuseLate(entry, nowMs)
+        }
         queue.remove(ticket.id)
+        queue.onGranted(entry)
         start(ticket, target)
         return Decision.Grant(ticket, target.id)
     }
@@ -179,7 +201,7 @@
     }
 
     private fun retryAfterMs(tier: Tier): Long {
-        val aheadMs = targets.typicalMs(0, queue.tokensAhead(tier).toInt())
+        val aheadMs = targets.fastestMs(0, queue.tokensAhead(tier).toInt())
         val waitMs = aheadMs / targets.totalLimit().coerceAtLeast(1)
         return waitMs.toLong().coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetBook.kt
@@ -11,14 +11,14 @@
     private val withRoom = TreeSet(order)
     private val withHeadroom = TreeSet(order)
     private val ejected = ArrayList<TargetState>()
-    private val affinity = PrefixAffinity()
+    private val poolPace = Pace()
+    private var fastest: TargetState? = null
+    private val router = TargetRouter(policy, poolPace)
     private val urgentBacklogMs = policy.firstTokenMs * URGENT_BACKLOG_SHARE
     private val backlogBoundMs = policy.firstTokenMs * BACKLOG_SHARE
     private var nextOrder = 0
     private var turn = 0L
 
-    val size: Int get() = targets.size
-
     fun ids(): Set<TargetId> = targets.keys
 
     fun isEjected(id: TargetId): Boolean = ejected.any { it.id == id }
@@ -30,6 +30,13 @@
     /** The requests that the targets may run at once. */
     fun totalLimit(): Int = targets.values.sumOf { if (it.isLeaving) 0 else it.limit.current }
 
+    /** Whether a ticket can be complete by its deadline if it starts on [target] now. */
+    fun isFeasible(target: TargetState, ticket: Ticket, outputTokens: Int, nowMs: Long): Boolean {
+        val needsMs = target.pace.predictMs(ticket.promptTokens, outputTokens)
+        val isKnown = Feature.FEASIBILITY in policy && target.pace.samples >= MIN_SAMPLES
+        return !isKnown || nowMs + needsMs <= ticket.deadlineAtMs
+    }
+
     fun update(specs: List<TargetSpec>) {
         val listed = specs.associateBy { it.id }
         targets.values.filter { it.id !in listed }.forEach { unlist(it) }
@@ -54,9 +61,6 @@
         back.forEach { reorder(it) {} }
     }
 
-    /** Whether any target has room for a ticket of [tier]. */
-    fun hasRoom(tier: Tier): Boolean = roomFor(tier).isNotEmpty()
-
     /** The lowest tier that some target has room for, or `null` if all are full. */
     fun lowestTierWithRoom(): Tier? = when {
         withHeadroom.isNotEmpty() -> Tier(Tier.LEAST_URGENT)
@@ -68,18 +72,11 @@
     fun choose(ticket: Ticket, outputTokens: Int): TargetState? {
         val room = roomFor(ticket.tier)
         if (room.isEmpty()) return null
-        val best = room.firstOrNull { it.id !in ticket.avoid } ?: room.first()
-        val cached = affinity.targetOf(ticket.prefixHash)?.let { targets[it] }
-        val usesCache = Feature.PREFIX_AFFINITY in policy &&
-            cached != null &&
-            cached in room &&
-            cached.id !in ticket.avoid &&
-            isWorthWaiting(cached, best, ticket, outputTokens)
-        return if (usesCache) cached else best
+        return router.choose(room, ticket, outputTokens) { targets[it] }
     }
 
     fun start(target: TargetState, ticket: Ticket, predictedMs: Double) {
-        affinity.remember(ticket.prefixHash, target.id)
+        router.remember(ticket, target.id)
         reorder(target) { target.start(predictedMs, ticket.promptTokens) }
     }
 
@@ -100,15 +97,13 @@
         if (!target.isListed && target.inFlight == 0) remove(target)
     }
 
-    /** The least time that [promptTokens] and [outputTokens] take on a typical target. */
-    fun typicalMs(promptTokens: Int, outputTokens: Int): Double =
-        typical?.pace?.predictMs(promptTokens, outputTokens) ?: 0.0
-
-    private var typical: TargetState? = null
+    /** The time that [promptTokens] and [outputTokens] take on the fastest target. */
+    fun fastestMs(promptTokens: Int, outputTokens: Int): Double =
+        fastest?.pace?.predictMs(promptTokens, outputTokens) ?: 0.0
 
     private fun newState(id: TargetId): TargetState {
         val state = TargetState(id, nextOrder++, policy)
-        typical?.let { state.pace.copyFrom(it.pace) }
+        if (poolPace.samples > 0) state.pace.copyFrom(poolPace)
         return state
     }
 
@@ -118,7 +113,8 @@
                 target.onSuccess()
                 target.pace.learn(release)
                 target.limit.onSample(Pace.betweenTokensMs(release), target.inFlight)
-                if (isTypical(target)) typical = target
+                poolPace.learn(release)
+                updateFastest(target)
             }
 
             ReleaseOutcome.FAILED, ReleaseOutcome.UNREACHABLE ->
@@ -128,9 +124,13 @@
         }
     }
 
-    private fun isTypical(target: TargetState): Boolean {
-        val known = typical ?: return true
-        return known === target || target.pace.decodeMsPerToken <= known.pace.decodeMsPerToken
+    private fun updateFastest(changed: TargetState) {
+        val known = fastest
+        when {
+            known == null -> fastest = changed
+            known === changed -> fastest = targets.values.minByOrNull { it.pace.nominalMs }
+            changed.pace.nominalMs < known.pace.nominalMs -> fastest = changed
+        }
     }
 
     private fun mayEject(): Boolean =
@@ -147,27 +147,15 @@
     }
 
     private fun remove(state: TargetState) {
+        if (fastest === state) fastest = null
         targets.remove(state.id)
         withRoom.remove(state)
         withHeadroom.remove(state)
         ejected.remove(state)
-        if (typical === state) typical = targets.values.maxByOrNull { it.pace.samples }
     }
 
     private fun roomFor(tier: Tier) = if (tier <= lowestReserved) withRoom else withHeadroom
 
-    private fun isWorthWaiting(
-        cached: TargetState,
-        best: TargetState,
-        ticket: Ticket,
-        outputTokens: Int
-    ): Boolean {
-        val savedMs = ticket.promptTokens * cached.pace.prefillMsPerToken
-        val cachedMs = cached.score + cached.pace.predictMs(0, outputTokens)
-        val bestMs = best.score + best.pace.predictMs(0, outputTokens) + savedMs
-        return cachedMs <= bestMs
-    }
-
     private inline fun reorder(target: TargetState, change: () -> Unit) {
         withRoom.remove(target)
         withHeadroom.remove(target)
@@ -193,6 +181,7 @@
     private companion object {
         const val MIN_LIMIT_FOR_HEADROOM = 4
         const val HEADROOM_DIVISOR = 4
+        const val MIN_SAMPLES = 20
         const val URGENT_BACKLOG_SHARE = 0.5
         const val BACKLOG_SHARE = 0.15
         val lowestReserved = Tier(2)
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetRouter.kt
@@ -0,0 +1,83 @@
+package org.bronzetide.scheduling
+
+import java.util.NavigableSet
+import org.bronzetide.model.TargetId
+
+/** Chooses, among the targets that have room, the one that a ticket goes to. */
+internal class TargetRouter(private val policy: PoolPolicy, private val poolPace: Pace) {
+    private val affinity = PrefixAffinity()
+
+    /** Remembers that [target] has the beginning of [ticket]'s prompt. */
+    fun remember(ticket: Ticket, target: TargetId) = affinity.remember(ticket.prefixHash, target)
+
+    /** The target of [room] for [ticket]; [find] looks a target up by its id. */
+    fun choose(
+        room: NavigableSet<TargetState>,
+        ticket: Ticket,
+        outputTokens: Int,
+        find: (TargetId) -> TargetState?
+    ): TargetState {
+        val best = earliest(room, ticket, outputTokens)
+        if (Feature.PACKING in policy && isLong(ticket, outputTokens)) {
+            return packed(room, best, ticket, outputTokens)
+        }
+        val cached = affinity.targetOf(ticket.prefixHash)?.let(find)
+        val usesCache = Feature.PREFIX_AFFINITY in policy &&
+            cached != null &&
+            cached in room &&
+            cached.id !in ticket.avoid &&
+            isWorthWaiting(cached, best, ticket, outputTokens)
+        return if (usesCache) cached else best
+    }
+
+    private fun earliest(
+        room: NavigableSet<TargetState>,
+        ticket: Ticket,
+        outputTokens: Int
+    ): TargetState {
+        val candidates = room.asSequence().filter { it.id !in ticket.avoid }.take(CANDIDATES)
+        if (Feature.PREDICTED_FINISH !in policy) return candidates.firstOrNull() ?: room.first()
+        return candidates.minByOrNull { it.finishMs(ticket, outputTokens) } ?: room.first()
+    }
+
+    /** The most loaded target on which a long ticket still does about as well as on [best]. */
+    private fun packed(
+        room: NavigableSet<TargetState>,
+        best: TargetState,
+        ticket: Ticket,
+        outputTokens: Int
+    ): TargetState {
+        val boundMs = best.finishMs(ticket, outputTokens) * PACKING_TOLERANCE
+        return room.descendingSet().asSequence().take(PACKING_TRIES)
+            .firstOrNull { it.id !in ticket.avoid && it.finishMs(ticket, outputTokens) <= boundMs }
+            ?: best
+    }
+
+    private fun isLong(ticket: Ticket, outputTokens: Int): Boolean {
+        val predictedMs = poolPace.predictMs(ticket.promptTokens, outputTokens)
+        return poolPace.samples >= MIN_SAMPLES && predictedMs > poolPace.typicalMs * LONG_FACTOR
+    }
+
+    private fun isWorthWaiting(
+        cached: TargetState,
+        best: TargetState,
+        ticket: Ticket,
+        outputTokens: Int
+    ): Boolean {
+        val savedMs = ticket.promptTokens * cached.pace.prefillMsPerToken
+        val cachedMs = cached.score + cached.pace.predictMs(0, outputTokens)
+        val bestMs = best.score + best.pace.predictMs(0, outputTokens) + savedMs
+        return cachedMs <= bestMs
+    }
+
+    private fun TargetState.finishMs(ticket: Ticket, outputTokens: Int): Double =
+        prefillBacklogMs + pace.predictMs(ticket.promptTokens, outputTokens)
+
+    private companion object {
+        const val CANDIDATES = 6
+        const val MIN_SAMPLES = 20
+        const val LONG_FACTOR = 4
+        const val PACKING_TOLERANCE = 1.5
+        const val PACKING_TRIES = 8
+    }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TargetState.kt
@@ -78,8 +78,8 @@
 
 /** A target's measured speed. */
 internal class Pace {
-    var prefillMsPerToken = INITIAL_PREFILL_MS
-        private set
+    private val prefill = LinearFit(INITIAL_PREFILL_MS)
+    val prefillMsPerToken: Double get() = prefill.slope
     var decodeMsPerToken = INITIAL_DECODE_MS
         private set
     var typicalMs = 0.0
@@ -87,24 +87,25 @@
     var samples = 0
         private set
 
+    /** The predicted time of a middling request, by which paces are compared. */
+    val nominalMs: Double
+        get() = if (samples == 0) Double.MAX_VALUE else predictMs(NOMINAL_PROMPT, NOMINAL_OUTPUT)
+
     fun predictMs(promptTokens: Int, outputTokens: Int): Double =
-        promptTokens * prefillMsPerToken + outputTokens * decodeMsPerToken
+        prefill.base + promptTokens * prefill.slope + outputTokens * decodeMsPerToken
 
     fun learn(release: Release) {
         val gain = maxOf(GAIN, 1.0 / ++samples)
-        val prefill = release.firstTokenMs.toDouble() / release.promptTokens.coerceAtLeast(1)
-        if (release.promptTokens >=
-            MIN_PROMPT
-        ) {
-            prefillMsPerToken += (prefill - prefillMsPerToken) * gain
+        prefill.add(release.promptTokens.toDouble(), release.firstTokenMs.toDouble())
+        if (release.outputTokens >= MIN_OUTPUT) {
+            decodeMsPerToken += (betweenTokensMs(release) - decodeMsPerToken) * gain
         }
-        decodeMsPerToken += (betweenTokensMs(release) - decodeMsPerToken) * gain
         typicalMs += (release.durationMs - typicalMs) * gain
     }
 
     /** Starts from the speed of a peer. */
     fun copyFrom(peer: Pace) {
-        prefillMsPerToken = peer.prefillMsPerToken
+        prefill.copyFrom(peer.prefill)
         decodeMsPerToken = peer.decodeMsPerToken
         typicalMs = peer.typicalMs
     }
@@ -113,7 +114,9 @@
         private const val INITIAL_PREFILL_MS = 0.2
         private const val INITIAL_DECODE_MS = 5.0
         private const val GAIN = 0.1
-        private const val MIN_PROMPT = 16
+        private const val MIN_OUTPUT = 8
+        private const val NOMINAL_PROMPT = 300
+        private const val NOMINAL_OUTPUT = 80
 
         fun betweenTokensMs(release: Release): Double = if (release.outputTokens > 1) {
             (release.durationMs - release.firstTokenMs).toDouble() / (release.outputTokens - 1)
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/PoolSchedulerProperties.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/PoolSchedulerProperties.kt
@@ -113,6 +113,15 @@
         check((refusal as Decision.Refuse).reason == RefusalReason.DEADLINE)
     }
 
+    @Example
+    fun `a scheduler that knows nothing yet refuses nothing for its deadline`() {
+        val scheduler = PoolScheduler(PoolPolicy())
+        scheduler.updateTargets(specs(1))
+        val short = ticket(1, maxOutputTokens = 100_000, deadlineAtMs = 500)
+        check(scheduler.enroll(short, 0).isEmpty())
+        check(scheduler.decide(0).single() is Decision.Grant)
+    }
+
     @Example
     fun `a failing target is ejected but never more than half of them`() {
         val scheduler = PoolScheduler(PoolPolicy())
