Give each try for an idempotency key an attempt of its own, and charge only what a target took

Change: each try has its own attempt and names those that its claimant gave up; claims are asked again until the deadline; prompt tokens are billed only when the target answered; an unreachable leaving member is dead. KeyWorld now supersedes attempts in half of its runs.

--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Scorer.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/Scorer.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.bench
 
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -108,17 +109,19 @@
     private fun ledgerMismatches(): Int {
         val lines = HashMap<String, Int>()
         val tokens = HashMap<String, Int>()
+        val uncharged = HashSet<String>()
         store.keys(LEDGER).forEach { key ->
             val batch = Jsons.wire.parseToJsonElement(store.peek(key).orEmpty()).jsonObject
             batch.getValue("lines").jsonArray.forEach { line ->
                 val fields = line.jsonObject
                 val id = fields.getValue("requestId").jsonPrimitive.content
+                if (isWithoutCharge(fields)) uncharged += id
                 lines.merge(id, 1, Int::plus)
                 tokens[id] = fields.getValue("outputTokens").jsonPrimitive.content.toInt()
             }
         }
         val doubled = lines.values.count { it > 1 }
-        val undispatched = lines.keys.count { it !in dispatchedIds }
+        val undispatched = lines.keys.count { it !in dispatchedIds && it !in uncharged }
         val unbilled = dispatchedIds.keys.count { it !in lines }
         val wrongTokens = outcomes.count {
             it.isWhole && it.isModelWork && tokens[it.requestId] != it.arrival.outputTokens
@@ -130,6 +133,14 @@
         return counts.sum()
     }
 
+    /** A line of a request that may have been lost on its way to the target, and charges nothing. */
+    private fun isWithoutCharge(line: JsonObject): Boolean =
+        line.getValue("verdict").jsonPrimitive.content == "MayHaveRun" &&
+            listOf("promptTokens", "outputTokens").all {
+                line.getValue(it).jsonPrimitive.content ==
+                    "0"
+            }
+
     private fun percentiles(valuesMs: List<Double>): PolicyReport.Percentiles {
         val histogram = Histogram(3)
         valuesMs.forEach { histogram.recordValue((it * SCALE).toLong().coerceAtLeast(0)) }
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyAuthority.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyAuthority.kt
@@ -38,7 +38,7 @@
         val index = map.slotOf(claim.key)
         val slot = index?.let { map.slots[it] }
         if (slot == null || slot.owner != self) return Step.Reply(ClaimReply.Unavailable)
-        val record = records[claim.key]?.takeUnless { expired(it) }
+        val record = records[claim.key]?.takeUnless { expired(it) || isSuperseded(it, claim) }
         val state = slotStates[index]
         return when {
             record != null -> heldStep(record, claim, slot)
@@ -181,6 +181,9 @@
         return Step.Reply(ClaimReply.Held(record.outcome, matches))
     }
 
+    private fun isSuperseded(record: Record, claim: KeyClaim): Boolean =
+        record.outcome is KeyOutcome.Pending && record.claim.attempt in claim.superseded
+
     private fun propose(claim: KeyClaim, slot: OwnershipMap.Slot): Step {
         val record = Record(claim, KeyOutcome.Pending, clock.nowMs())
         records[claim.key] = record
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyClaim.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/KeyClaim.kt
@@ -10,7 +10,9 @@
     val fingerprint: String,
     val claimant: NodeId,
     /** Unique for each attempt, so that a claim sent twice is recognised. */
-    val attempt: String
+    val attempt: String,
+    /** Earlier attempts of the same request that the claimant has given up and will never use. */
+    val superseded: List<String> = emptyList()
 )
 
 /** What is known of a claimed key. */
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -88,10 +88,14 @@
         onProbe(ack)
     }
 
-    /** Suspects [id] at once, as when its connection was reset. */
+    /** Suspects [id] at once, as when its connection was reset; a leaving member has then left. */
     public fun suspect(id: NodeId) {
         val member = members[id] ?: return
-        if (member.state == MemberState.ALIVE) apply(member.copy(state = MemberState.SUSPECT))
+        when (member.state) {
+            MemberState.ALIVE -> apply(member.copy(state = MemberState.SUSPECT))
+            MemberState.LEAVING -> apply(member.copy(state = MemberState.DEAD))
+            MemberState.SUSPECT, MemberState.DEAD -> Unit
+        }
     }
 
     /** Declares [id] dead at once, as when another process answers at its address. */
--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/KeyWorld.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/KeyWorld.kt
@@ -53,7 +53,11 @@
         val key = "key-${random.nextInt(KEYS)}"
         val entry = anyNode()
         val owner = entry.map.slots[entry.map.slotOf(key)!!].owner
-        val claim = KeyClaim(key, "print", entry.id, "a${attempts.size}")
+        val given = attempts.map { it.claim }
+            .filter { it.key == key && it.claimant == entry.id && it.attempt in refusedAttempts }
+            .map { it.attempt }
+        val superseded = if (random.nextBoolean()) given else emptyList()
+        val claim = KeyClaim(key, "print", entry.id, "a${attempts.size}", superseded)
         attempts += Attempt(claim)
         send(owner) { it.onClaim(claim) }
     }
--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/MembershipProperties.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/MembershipProperties.kt
@@ -55,6 +55,20 @@
         check(cluster.machines.all { machine -> machine.eligible().none { it.id.value == "n2" } })
     }
 
+    @Example
+    fun `a leaving node that cannot be reached has left`() {
+        val cluster = FakeCluster(Random(1), size = 4)
+        cluster.run(10_000)
+        cluster.machines[2].leave()
+        cluster.run(3_000)
+        cluster.silent += 2
+        cluster.run(6_000)
+        val states = cluster.views(except = 2).map { view ->
+            view.single { it.id.value == "n2" }.state
+        }
+        check(states.all { it == MemberState.DEAD }) { "$states" }
+    }
+
     @Example
     fun `a rumor about an earlier incarnation changes nothing`() {
         val clock = ManualClock()
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/EngineClient.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/EngineClient.kt
@@ -132,6 +132,7 @@
             return Attempt.Rejected("target answered ${response.status.value}")
         }
         idle.touch()
+        reader.isAcknowledged = true
         val body: ByteReadChannel = response.bodyAsChannel()
         while (!reader.isDone) {
             val line = body.readLine() ?: return Attempt.Interrupted("stream ended early")
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/StreamReader.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/StreamReader.kt
@@ -36,6 +36,9 @@
     var isDone = false
         private set
 
+    /** Whether the target answered at all, so that it surely took the request. */
+    var isAcknowledged = false
+
     val isCancelled: Boolean get() = finish?.choices?.firstOrNull()?.finishReason == "cancelled"
 
     suspend fun onLine(line: String) {
@@ -47,7 +50,7 @@
     }
 
     fun usage(): Usage = Usage(
-        promptTokens = finish?.usage?.promptTokens ?: promptTokens,
+        promptTokens = finish?.usage?.promptTokens ?: if (isAcknowledged) promptTokens else 0,
         outputTokens = maxOf(finish?.usage?.completionTokens ?: 0, position),
         firstTokenMs = if (firstTokenAtMs == 0L) 0 else firstTokenAtMs - startedAtMs,
         durationMs = (if (isDone) endedAtMs else clock.nowMs()) - startedAtMs
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/KeyedRun.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/KeyedRun.kt
@@ -23,15 +23,18 @@
      * gets the time up to which the claim may be used.
      */
     suspend fun run(request: CallerRequest, block: suspend (Long) -> RequestEnd): RequestEnd {
-        val claim = KeyClaim(
-            key = "${request.caller}/${request.idempotencyKey}",
-            fingerprint = KeyDigest.of("${request.poolId}\n${request.work.identity()}"),
-            claimant = self,
-            attempt = UUID.randomUUID().toString()
-        )
+        val fingerprint = KeyDigest.of("${request.poolId}\n${request.work.identity()}")
+        val given = ArrayList<String>()
         val waitUntilMs = minOf(request.deadlineAtMs, clock.nowMs() + MAX_WAIT_MS)
         while (true) {
             val askedAtMs = clock.nowMs()
+            val claim = KeyClaim(
+                key = "${request.caller}/${request.idempotencyKey}",
+                fingerprint = fingerprint,
+                claimant = self,
+                attempt = UUID.randomUUID().toString(),
+                superseded = given.toList()
+            )
             when (val reply = keys.claim(claim)) {
                 is ClaimReply.Granted -> return runClaimed(claim, askedAtMs + CLAIM_VALID_MS, block)
 
@@ -42,8 +45,9 @@
                 )
 
                 is ClaimReply.Unavailable -> {
+                    given += claim.attempt
                     keys.end(claim, outcome = null)
-                    if (clock.nowMs() >= waitUntilMs) return unavailable()
+                    if (clock.nowMs() >= request.deadlineAtMs) return unavailable()
                 }
             }
             delay(POLL_MS)
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestFlow.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestFlow.kt
@@ -206,13 +206,15 @@
             timeoutMs = request.deadlineAtMs - clock.nowMs()
         )
 
+        private fun promptTokens() = (request.work as? Work.Completion)?.promptTokens ?: 0
+
         private fun usage(ended: DispatchResult?): Usage = when (ended) {
             is DispatchResult.Finished -> ended.usage
 
             is DispatchResult.Broken -> ended.usage
 
             else -> Usage(
-                promptTokens = (request.work as? Work.Completion)?.promptTokens ?: 0,
+                promptTokens = if (passedTokens > 0) promptTokens() else 0,
                 outputTokens = passedTokens,
                 durationMs = clock.nowMs() - startedAtMs
             )
