--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/PolicyRun.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/PolicyRun.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.bench
 
-import java.lang.management.ManagementFactory
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlinx.coroutines.CoroutineScope
@@ -91,7 +90,7 @@
     ): PolicyResult {
         val findings = Findings()
         val bytesBefore = cluster.nodes.sumOf { it.controlBytesSent }
-        val cpuBefore = controlCpuNanos()
+        val cpuBefore = ProcessFigures.controlCpuNanos()
         val startedNanos = System.nanoTime()
         val outcomes = coroutineScope {
             val disturbance =
@@ -101,7 +100,7 @@
         val seconds = (System.nanoTime() - startedNanos) / 1e9
         val nodeSeconds = cluster.nodes.size * seconds
         val bytes = (cluster.nodes.sumOf { it.controlBytesSent } - bytesBefore).coerceAtLeast(0)
-        val cpu = (controlCpuNanos() - cpuBefore).coerceAtLeast(0)
+        val cpu = (ProcessFigures.controlCpuNanos() - cpuBefore).coerceAtLeast(0)
         System.err.println(
             "$policy: load of ${scenario.arrivals.size} requests took ${"%.1f".format(seconds)} s"
         )
@@ -148,13 +147,6 @@
         if (report.ledgerMismatches > 0) add("${report.ledgerMismatches} ledger mismatches")
     }
 
-    private fun controlCpuNanos(): Long {
-        val threads = ManagementFactory.getThreadMXBean()
-        return threads.getThreadInfo(threads.allThreadIds)
-            .filter { it != null && it.threadName.startsWith("control") }
-            .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) }
-    }
-
     private companion object {
         const val SERVICES = 3
         const val SPREAD_TIMEOUT_MS = 10_000L
--- /dev/null
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/ProcessFigures.kt
@@ -0,0 +1,22 @@
+package org.bronzetide.bench
+
+import java.lang.management.ManagementFactory
+
+/** Figures of the process that an experiment runs in. */
+internal object ProcessFigures {
+    private const val COLLECTIONS = 3
+
+    /** The processor time of the control threads of all nodes, in nanoseconds. */
+    fun controlCpuNanos(): Long {
+        val threads = ManagementFactory.getThreadMXBean()
+        return threads.getThreadInfo(threads.allThreadIds)
+            .filter { it != null && it.threadName.startsWith("control") }
+            .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) }
+    }
+
+    /** The heap in use after collections, in bytes. */
+    fun usedHeapBytes(): Double {
+        repeat(COLLECTIONS) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }.toDouble()
+    }
+}
--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/SlopesExperiment.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/SlopesExperiment.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.bench
 
-import java.lang.management.ManagementFactory
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -84,7 +83,7 @@
     }
 
     private suspend fun idlePoint(nodes: Int): SlopesReport.IdlePoint {
-        val heapBefore = usedHeap()
+        val heapBefore = ProcessFigures.usedHeapBytes()
         return DevCluster(
             listOf(EngineProfile()),
             serviceCount = 1,
@@ -92,7 +91,7 @@
         ).use { cluster ->
             cluster.start()
             delay(SETTLE_MS)
-            val heap = (usedHeap() - heapBefore) / nodes
+            val heap = (ProcessFigures.usedHeapBytes() - heapBefore) / nodes
             val reads = cluster.store.reads.get() + cluster.store.writes.get()
             val sample = sample(cluster) { delay(SAMPLE_MS) }
             val calls = cluster.store.reads.get() + cluster.store.writes.get() - reads
@@ -173,13 +172,13 @@
 
     private suspend fun sample(cluster: DevCluster, work: suspend () -> Unit): Sample {
         val bytes = cluster.nodes.sumOf { it.controlBytesSent }
-        val cpu = controlCpuNanos()
+        val cpu = ProcessFigures.controlCpuNanos()
         val startedNanos = System.nanoTime()
         work()
         val seconds = (System.nanoTime() - startedNanos) / 1e9
         return Sample(
             bytes = (cluster.nodes.sumOf { it.controlBytesSent } - bytes).toDouble(),
-            cpuNanos = (controlCpuNanos() - cpu).toDouble(),
+            cpuNanos = (ProcessFigures.controlCpuNanos() - cpu).toDouble(),
             nodeSeconds = seconds * cluster.nodes.size
         )
     }
@@ -229,18 +228,6 @@
         deadlineAtMs = 1_000_000
     )
 
-    private fun controlCpuNanos(): Long {
-        val threads = ManagementFactory.getThreadMXBean()
-        return threads.getThreadInfo(threads.allThreadIds)
-            .filter { it != null && it.threadName.startsWith("control") }
-            .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) }
-    }
-
-    private fun usedHeap(): Double {
-        repeat(2) { System.gc() }
-        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }.toDouble()
-    }
-
     private companion object {
         const val CALLER = "slopes"
         const val SETTLE_MS = 3_000L
