--- a/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/FaultExperiments.kt
+++ b/bronzetide-bench/src/main/kotlin/org/bronzetide/bench/FaultExperiments.kt
@@ -166,7 +166,7 @@
 
     /** Operators who race each other while nodes are replaced. */
     private class Storm(private val cluster: DevCluster, private val findings: Findings) {
-        private val accepted = ConcurrentLinkedQueue<Pair<Long, String>>()
+        private val accepted = ConcurrentLinkedQueue<String>()
         private val spreadMs = ConcurrentLinkedQueue<Double>()
 
         suspend fun run(scope: CoroutineScope) {
@@ -189,7 +189,7 @@
                 org.bronzetide.model.Configuration.serializer(),
                 cluster.store.peek("bronzetide/config").orEmpty()
             ).objects.keys
-            findings.figures[LOST_CHANGES] = accepted.count { it.second !in kept }.toDouble()
+            findings.figures[LOST_CHANGES] = accepted.count { it !in kept }.toDouble()
             if (accepted.isEmpty()) findings.violations += "no change was accepted"
         }
 
@@ -209,7 +209,7 @@
                 val plan = operator.plan(text).plan ?: return
                 val answer = operator.confirm(plan)
                 if (answer.result == "confirmed") {
-                    accepted += answer.version to "rule/$name"
+                    accepted += "rule/$name"
                     awaitEverywhere(answer.version)
                 }
             }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/StatusService.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/operator/StatusService.kt
@@ -23,9 +23,8 @@
     /** The status of every node that answers within [ANSWER_TIMEOUT_MS]. */
     suspend fun cluster(): ClusterStatus {
         val asked = control.call { ask() }
-        val answers = ArrayList<NodeStatus>()
         withTimeoutOrNull(ANSWER_TIMEOUT_MS) {
-            asked.forEach { (_, _, answer) -> answers += answer.await() }
+            asked.forEach { (_, _, answer) -> answer.await() }
         }
         val late = asked.filter { (_, node, answer) -> node != self && !answer.isCompleted }
         control.post { asked.forEach { (call, _, _) -> calls.remove(call) } }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/LinearFit.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/LinearFit.kt
@@ -5,7 +5,7 @@
  *
  * Source: weighted least squares with exponential forgetting.
  */
-internal class LinearFit(private val initialSlope: Double) {
+internal class LinearFit(initialSlope: Double) {
     private var weight = 0.0
     private var sumX = 0.0
     private var sumY = 0.0
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/PoolScheduler.kt
@@ -98,7 +98,7 @@
         if (ticket.id in running) return
         if (ticket.id in queue) withdraw(ticket.id, nowMs)
         limiter.readmit(ticket.caller)
-        start(ticket, targets.findOrKeep(target))
+        start(ticket, targets.findOrKeep(target), estimator.expectedTokens(ticket))
     }
 
     /** Drops every ticket of [node] and frees what it held, as when the node died. */
@@ -176,23 +176,15 @@
         val outputTokens = estimator.expectedTokens(ticket)
         val target = targets.choose(ticket, outputTokens) ?: return null
         val certainTokens = estimator.certainTokens(ticket)
-        if (!targets.isFeasible(
-                target,
-                ticket,
-                certainTokens,
-                nowMs
-            )
-        ) {
-            return refuseLate(entry, nowMs)
-        }
+        val isFeasible = targets.isFeasible(target, ticket, certainTokens, nowMs)
+        if (!isFeasible) return refuseLate(entry, nowMs)
         queue.remove(ticket.id)
         queue.onGranted(entry)
-        start(ticket, target)
+        start(ticket, target, outputTokens)
         return Decision.Grant(ticket, target.id)
     }
 
-    private fun start(ticket: Ticket, target: TargetState) {
-        val outputTokens = estimator.expectedTokens(ticket)
+    private fun start(ticket: Ticket, target: TargetState, outputTokens: Int) {
         val predictedMs = target.pace.predictMs(ticket.promptTokens, outputTokens)
         val tokens = (ticket.promptTokens + outputTokens).toDouble()
         running[ticket.id] = Running(ticket, target.id, predictedMs, tokens)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Ticket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/Ticket.kt
@@ -3,6 +3,7 @@
 import org.bronzetide.coordination.NodeId
 import org.bronzetide.model.CallerId
 import org.bronzetide.model.CallerLimits
+import org.bronzetide.model.TargetId
 import org.bronzetide.model.Tier
 
 /** Names a ticket: the node that keeps the request, and its sequence number there. */
@@ -27,5 +28,5 @@
     /** Whether an earlier arbiter took this ticket; it is then not charged to limits again. */
     val isRepeated: Boolean = false,
     /** Targets that could not be reached for this request. */
-    val avoid: Set<org.bronzetide.model.TargetId> = emptySet()
+    val avoid: Set<TargetId> = emptySet()
 )
