--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Member.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Member.kt
@@ -13,7 +13,9 @@
     @CborLabel(4) val peerPort: Int,
     /** Grows with every start of the node, and when it refutes a suspicion. */
     @CborLabel(5) val incarnation: Long,
-    @CborLabel(6) val state: MemberState
+    @CborLabel(6) val state: MemberState,
+    /** The processor cores that the node may use; duties go to nodes with many. */
+    @CborLabel(7) val cpuCores: Double = 0.0
 )
 
 /** What the cluster believes of a member; a later state overrides an earlier one. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.edge
 
+import ch.qos.logback.classic.LoggerContext
 import java.io.File
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
@@ -7,6 +8,8 @@
 import kotlinx.coroutines.runBlocking
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SettingsException
+import org.slf4j.LoggerFactory
+import sun.misc.Signal
 
 private const val SETTINGS_VARIABLE = "BRONZETIDE_NODE_FILE"
 private const val BAD_SETTINGS = 2
@@ -15,7 +18,8 @@
  * Runs a process on an entry host of the platform.
  *
  * The settings file is named by the environment variable `BRONZETIDE_NODE_FILE`. With `--check` the
- * settings are only validated. SIGTERM stops the process as planned.
+ * settings are only validated. SIGTERM stops the process as planned, SIGHUP
+ * rereads the settings; a file with faults changes nothing.
  */
 public fun main(arguments: Array<String>) {
     val settings = readSettings() ?: exitProcess(BAD_SETTINGS)
@@ -26,9 +30,11 @@
         thread(start = false, name = "stop") {
             runBlocking { node.drain() }
             node.close()
+            (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
             stopped.countDown()
         }
     )
+    Signal.handle(Signal("HUP")) { readSettings()?.let(node::reload) }
     runBlocking { node.start() }
     stopped.await()
 }
@@ -36,7 +42,8 @@
 private fun readSettings(): HostSettings? {
     val path = System.getenv(SETTINGS_VARIABLE)
     return try {
-        HostSettings.parse(File(path ?: throw SettingsException(listOf("$SETTINGS_VARIABLE is not set"))).readText())
+        if (path == null) throw SettingsException(listOf("$SETTINGS_VARIABLE is not set"))
+        HostSettings.parse(File(path).readText())
     } catch (cause: SettingsException) {
         cause.faults.forEach { System.err.println("settings: $it") }
         null
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge
 
 import io.ktor.network.selector.SelectorManager
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -21,9 +22,13 @@
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.ControlServer
 import org.bronzetide.edge.entry.Gate
+import org.bronzetide.edge.entry.SharedQuotas
 import org.bronzetide.edge.flow.Exchange
 import org.bronzetide.edge.flow.TargetClient
 import org.bronzetide.edge.flow.Turns
+import org.bronzetide.edge.peer.BeliefExchange
+import org.bronzetide.edge.peer.Fleet
+import org.bronzetide.edge.peer.PeerSocket
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -33,9 +38,13 @@
 import org.bronzetide.platform.fleet.FleetStore
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.platform.fleet.SocketAddress
+import org.bronzetide.platform.fleet.StoredObject
+import org.bronzetide.platform.fleet.StoredObjectCodec
 import org.bronzetide.platform.fleet.TargetEntry
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.QuotaBook
 import org.bronzetide.scheduling.fleet.RepeatBudget
 
 /** One process on an entry host of the platform: callers in front, targets behind. */
@@ -53,11 +62,28 @@
     private val manifests = ManifestKeeper(board, control, log)
     private val targets = TargetKeeper(board, control, clock, log)
     private val activity = Activity()
+    private val quotas = QuotaBook()
+    private val beliefs = BeliefExchange(pool, settings.control.port)
+    private val peers = PeerSocket(
+        selector,
+        SocketAddress(settings.ip, settings.peerPorts.first),
+        log
+    ) { message, sender -> control.post { fleet.onMessage(message, sender) } }
+    private val fleet: Fleet = Fleet(
+        settings,
+        clock,
+        control,
+        scheduler,
+        quotas,
+        log,
+        Fleet.Ports(peers::send, { manifest()?.version ?: 0 }, ::fetchManifest)
+    )
     private val budget = RepeatBudget(
         settings.bounds.retryRatio,
         settings.bounds.retrySlack,
         settings.bounds.retryWindowMs
-    ) { DEFAULT_HOSTS }
+    ) { fleet.hostCount }
+    private val isFetching = AtomicBoolean()
     private val exchange = Exchange(
         Turns(control, clock, scheduler),
         TargetClient(pool, clock),
@@ -69,7 +95,7 @@
     )
     private val services = CallerSession.Services(
         clock,
-        Gate(clock, ::manifest) { _, _ -> null },
+        Gate(clock, ::manifest, SharedQuotas(control, clock, quotas)),
         exchange,
         { manifest()?.limits ?: CallerLimits() },
         activity,
@@ -83,10 +109,15 @@
         ControlServer(mapOf("/ready" to ::readinessAnswer)).serve(CallerConnection(it))
     }
     private val operators = CallerServer(selector, settings.control, log) {
-        val answers = mapOf("/metrics" to { ControlServer.Answer(OK, metrics.scrape()) })
-        ControlServer(answers).serve(CallerConnection(it))
+        ControlServer(operatorAnswers).serve(CallerConnection(it))
     }
 
+    private val operatorAnswers: Map<String, () -> ControlServer.Answer> = mapOf(
+        "/metrics" to { ControlServer.Answer(OK, metrics.scrape()) },
+        BeliefExchange.MANIFEST_PATH to { objectsAnswer(manifests.objects) },
+        BeliefExchange.TARGETS_PATH to { objectsAnswer(targets.objects) }
+    )
+
     /** Whether the process can serve: it knows a manifest and the targets, and does not stop. */
     public val isReady: Boolean
         get() = !activity.isStopping && manifest() != null && board[Beliefs.areTargetsKnown]
@@ -97,6 +128,7 @@
         board.subscribe(Beliefs.targets) { updateTargets() }
         board.subscribe(Beliefs.manifest) { updateTargets() }
         control.post {
+            fleet.start()
             control.timers.every(EXPIRE_MS) { targets.expire() }
             control.timers.every(DECIDE_MS) { scheduler.decide(clock.nowMs()) }
             control.timers.every(EVICT_MS) { pool.evictStale() }
@@ -106,6 +138,8 @@
         metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
         scope.launch { follow(FleetKinds.MANIFESTS, manifests) }
         scope.launch { follow(FleetKinds.TARGETS, targets) }
+        scope.launch { learnFromPeers() }
+        peers.start(scope)
         readiness.start(scope)
         operators.start(scope)
         callers.start(scope)
@@ -119,6 +153,7 @@
     public suspend fun drain() {
         activity.isStopping = true
         log.belief("stopping", "requests" to activity.requestCount)
+        control.post { fleet.leave() }
         delay(BALANCER_MS)
         activity.closeIdle()
         val limitMs = settings.bounds.stopGraceMs - BALANCER_MS - EXIT_MARGIN_MS
@@ -128,9 +163,16 @@
         log.belief("stopped", "requestsCutOff" to activity.requestCount)
     }
 
+    /** Takes [changed] settings. Addresses and bounds of a running process do not change. */
+    public fun reload(changed: HostSettings) {
+        control.post { fleet.updateSeeds(changed.seeds) }
+        log.belief("settings reloaded", "seeds" to changed.seeds.map { it.toString() })
+    }
+
     override fun close() {
         callers.close()
         readiness.close()
+        peers.close()
         operators.close()
         scope.cancel()
         pool.close()
@@ -145,6 +187,34 @@
     private suspend fun follow(kind: String, observer: StoreFollower.Observer) =
         StoreFollower(kind, store, clock, log, metrics, observer).run()
 
+    private fun objectsAnswer(objects: List<StoredObject>) =
+        ControlServer.Answer(OK, StoredObjectCodec.encodeList(objects), "application/json")
+
+    private fun fetchManifest(ip: String) {
+        if (!isFetching.compareAndSet(false, true)) return
+        scope.launch {
+            try {
+                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let { manifests.offer(it, "peer $ip") }
+            } finally {
+                isFetching.set(false)
+            }
+        }
+    }
+
+    /** Asks peers for what the store does not tell, until both manifest and targets are known. */
+    private suspend fun learnFromPeers() {
+        delay(STORE_FIRST_MS)
+        while (manifest() == null || !board[Beliefs.areTargetsKnown]) {
+            val ips = control.call { fleet.peerIps() } + settings.seeds.map { it.host }
+            for (ip in ips.filter { it != settings.ip }.distinct().take(MAX_ASKED)) {
+                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let { manifests.offer(it, "peer $ip") }
+                val found = beliefs.fetch(ip, BeliefExchange.TARGETS_PATH)
+                if (!found.isNullOrEmpty()) targets.offer(found)
+            }
+            delay(STORE_FIRST_MS)
+        }
+    }
+
     private fun updateTargets() {
         scheduler.updateTargets(board[Beliefs.targets].values.map(::spec))
         scheduler.decide(clock.nowMs())
@@ -163,8 +233,9 @@
         const val OK = 200
         const val UNAVAILABLE = 503
 
-        /** Assumed until the other hosts are known. */
-        const val DEFAULT_HOSTS = 8
+        /** The store is given this long before peers are asked in its place. */
+        const val STORE_FIRST_MS = 400L
+        const val MAX_ASKED = 3
         const val EXPIRE_MS = 100L
         const val DECIDE_MS = 20L
         const val EVICT_MS = 500L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/ManifestKeeper.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/ManifestKeeper.kt
@@ -6,7 +6,7 @@
 import org.bronzetide.platform.fleet.Changes
 import org.bronzetide.platform.fleet.FleetKinds
 import org.bronzetide.platform.fleet.Listing
-import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.platform.fleet.StoredObject
 
 /** Keeps the newest manifest on the blackboard; an older one never replaces it. */
 internal class ManifestKeeper(
@@ -15,17 +15,23 @@
     private val log: DecisionLog
 ) : StoreFollower.Observer {
     override suspend fun onListing(listing: Listing) =
-        offer(FleetKinds.manifestIn(listing.objects), "listing")
+        offer(listing.objects, "listing")
 
     override suspend fun onChanges(changes: Changes) =
-        offer(FleetKinds.manifestIn(changes.changed), "watch")
+        offer(changes.changed, "watch")
 
-    /** Takes [manifest] if it is newer than the one in force. */
-    suspend fun offer(manifest: Manifest?, source: String) {
-        if (manifest == null) return
+    /** What the manifest in force was decoded from, for peers. */
+    @Volatile
+    var objects: List<StoredObject> = emptyList()
+        private set
+
+    /** Takes the manifest in [found] if it is newer than the one in force. */
+    suspend fun offer(found: List<StoredObject>, source: String) {
+        val manifest = FleetKinds.manifestIn(found) ?: return
         control.call {
             val known = board[Beliefs.manifest].firstOrNull()
             if (known == null || manifest.version > known.version) {
+                objects = found
                 board[Beliefs.manifest] = listOf(manifest)
                 log.belief(
                     "manifest in force",
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/TargetKeeper.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/TargetKeeper.kt
@@ -25,8 +25,23 @@
 ) : StoreFollower.Observer {
     private val entries = HashMap<String, TargetEntry>()
     private val removedAtMs = HashMap<String, Long>()
+    private val sources = HashMap<String, StoredObject>()
     private var storeBackAtMs: Long? = null
 
+    /** What the entries were decoded from, for peers. */
+    @Volatile
+    var objects: List<StoredObject> = emptyList()
+        private set
+
+    /** Takes what a peer knows, if nothing was read from the store yet. */
+    suspend fun offer(found: List<StoredObject>) = control.call {
+        if (board[Beliefs.areTargetsKnown]) return@call
+        found.forEach(::onEntry)
+        log.belief("targets from a peer", "count" to found.size)
+        board[Beliefs.areTargetsKnown] = true
+        publish()
+    }
+
     override suspend fun onListing(listing: Listing) = control.call {
         val present = listing.objects.mapTo(HashSet()) { it.name }
         entries.keys.filter { it !in present }.forEach(::onRemoved)
@@ -53,6 +68,7 @@
         gone.forEach {
             removedAtMs.remove(it)
             entries.remove(it)
+            sources.remove(it)
             log.belief("target gone", "target" to it)
         }
         publish()
@@ -66,6 +82,7 @@
             return
         }
         removedAtMs.remove(entry.id)
+        sources[entry.id] = stored
         val known = entries.put(entry.id, entry)
         if (known != entry) {
             log.belief(
@@ -91,6 +108,7 @@
     }
 
     private fun publish() {
+        objects = sources.filterKeys { it in entries }.values.toList()
         board[Beliefs.targets] = entries.toMap()
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -147,6 +147,7 @@
                 watch.cancel()
             }
         }
+        if (ended.hasNotRun) services.gate.giveBack(call)
         withContext(NonCancellable) { report(call, ended) }
         return ended.isWhole && call.request.keepsConnection && !services.activity.isStopping
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
@@ -19,9 +19,18 @@
 ) {
     private val sequences = AtomicLong()
 
-    /** Takes units of an account's quota; gives the wait in milliseconds where there are none. */
-    fun interface Quotas {
+    /** The quotas of accounts. */
+    interface Quotas {
+        /** Takes [units]; gives the wait in milliseconds where there are none. */
         suspend fun take(account: Account, units: Long): Long?
+
+        /** Gives [units] back that were taken for a request that no target ran. */
+        fun giveBack(account: Account, units: Long)
+    }
+
+    /** Returns what [call] took of its account's quota. */
+    fun giveBack(call: Call) {
+        call.account?.let { quotas.giveBack(it, unitsOf(call.facts, it)) }
     }
 
     suspend fun admit(request: IncomingRequest, body: ByteArray, arrivedAtMs: Long): Admission {
@@ -78,7 +87,9 @@
 
     private fun pickService(route: Route): String {
         val total = route.services.sumOf { it.weight }
-        if (route.services.size <= 1 || total <= 0) return route.services.firstOrNull()?.service.orEmpty()
+        if (route.services.size <= 1 || total <= 0) {
+            return route.services.firstOrNull()?.service.orEmpty()
+        }
         var point = Random.nextDouble(total)
         return route.services.firstOrNull {
             point -= it.weight
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -0,0 +1,273 @@
+package org.bronzetide.edge.peer
+
+import kotlin.random.Random
+import org.bronzetide.coordination.ControlLoop
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.Membership
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.RendezvousHash
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.platform.fleet.HostSettings
+import org.bronzetide.platform.fleet.SocketAddress
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.LoadHub
+import org.bronzetide.scheduling.fleet.LoadReport
+import org.bronzetide.scheduling.fleet.QuotaBook
+
+/**
+ * This host's part among its peers: who is alive, what they have sent to targets, what they took
+ * of quotas, and which manifest they hold. State lives on the control thread.
+ *
+ * Every host reports to one hub, which answers with the sum of all others; so the traffic of a
+ * host does not grow with their number. The hub is the first of the live hosts in an order that
+ * all compute alike. A host that hears nothing from the hub turns to the next in order; decisions
+ * on requests never wait for it.
+ */
+internal class Fleet(
+    private val settings: HostSettings,
+    private val clock: MonotonicClock,
+    private val control: ControlLoop,
+    private val scheduler: FleetScheduler,
+    private val quotas: QuotaBook,
+    private val log: DecisionLog,
+    private val ports: Ports
+) {
+    /** What the fleet needs of the process around it. */
+    class Ports(
+        val send: (SocketAddress, PeerMessage) -> Unit,
+        val manifestVersion: () -> Long,
+        /** Told that the host at an IP address holds a newer manifest. */
+        val onNewerManifest: (String) -> Unit
+    )
+
+    private val self = NodeId("${settings.nodeName}~${System.currentTimeMillis().toString(RADIX)}")
+    private val membership = Membership(
+        Member(
+            self, settings.availabilityZone, settings.ip, settings.peerPorts.first,
+            System.currentTimeMillis(), MemberState.ALIVE, settings.cpuCores
+        ),
+        clock,
+        Random.Default
+    )
+    private val hub = LoadHub(SILENT_MS)
+    private val silentUntilMs = HashMap<NodeId, Long>()
+    private var currentHub: NodeId? = null
+    private var hubHeardAtMs = clock.nowMs()
+    private var isInformed = false
+    private var seeds = settings.seeds
+
+    /** The hosts that are not known to be dead, this one included. */
+    val hostCount: Int get() = membership.view().count { it.state != MemberState.DEAD }
+
+    /** Whether what the other hosts do is known at present. */
+    val isInformedOfPeers: Boolean get() = isInformed
+
+    /** Starts the periodic work; called on the control thread. */
+    fun start() {
+        control.timers.every(PROBE_MS) { probe() }
+        scheduleExchange()
+    }
+
+    /** Takes the addresses of hosts to ask where no other is known. */
+    fun updateSeeds(found: List<SocketAddress>) {
+        seeds = found
+    }
+
+    /** Announces that this host stops as planned. */
+    fun leave() {
+        membership.leave()
+        membership.tick().forEach { sendProbe(it.probe, it.to, isAck = false) }
+    }
+
+    /** Takes a message that came from the host at [senderIp]. */
+    fun onMessage(message: PeerMessage, senderIp: String) = when (message) {
+        is PeerMessage.Probe -> onProbe(message, senderIp)
+        is PeerMessage.Report -> onReport(message)
+        is PeerMessage.Summary -> onSummary(message)
+    }
+
+    /** The addresses of live peers, in random order. */
+    fun peerIps(): List<String> = membership.view()
+        .filter { it.id != self && it.state != MemberState.DEAD }.map { it.host }.shuffled()
+
+    private fun probe() {
+        val before = membership.version
+        membership.tick().forEach { sendProbe(it.probe, it.to, isAck = false) }
+        val known = membership.view().filter { it.state != MemberState.DEAD }.map { it.host }.toSet()
+        seeds.map { it.host }.filter { it !in known }.forEach { seed ->
+            val hello = Membership.Probe(membership.self, emptyList())
+            ports.send(addressOf(seed), PeerMessage.Probe(hello, false, ports.manifestVersion()))
+        }
+        if (membership.version != before) logView()
+    }
+
+    private fun onProbe(message: PeerMessage.Probe, senderIp: String) {
+        val before = membership.version
+        if (message.isAck) {
+            membership.onAck(message.probe)
+        } else {
+            val ack = membership.onProbe(message.probe)
+            val reply = PeerMessage.Probe(ack, true, ports.manifestVersion())
+            ports.send(addressOf(message.probe.sender.host), reply)
+        }
+        if (message.manifestVersion > ports.manifestVersion()) ports.onNewerManifest(senderIp)
+        if (membership.version != before) logView()
+    }
+
+    private fun logView() {
+        val members = membership.view()
+        log.belief(
+            "members",
+            "version" to membership.version,
+            "alive" to members.count { it.state == MemberState.ALIVE },
+            "suspect" to members.filter { it.state == MemberState.SUSPECT }.map { it.id.value },
+            "dead" to members.count { it.state == MemberState.DEAD }
+        )
+    }
+
+    private fun sendProbe(probe: Membership.Probe, to: NodeId, isAck: Boolean) {
+        val member = membership.view().find { it.id == to } ?: return
+        ports.send(addressOf(member.host), PeerMessage.Probe(probe, isAck, ports.manifestVersion()))
+    }
+
+    private fun scheduleExchange() {
+        control.timers.after(exchangePeriodMs()) {
+            exchange()
+            scheduleExchange()
+        }
+    }
+
+    /** Grows with the fleet, so that the hub's work stays bounded. */
+    private fun exchangePeriodMs(): Long =
+        maxOf(EXCHANGE_MS, (hostCount * EXCHANGE_MS_PER_HOST).toLong())
+
+    private fun exchange() {
+        val nowMs = clock.nowMs()
+        checkHub(nowMs)
+        val target = chooseHub(nowMs)
+        if (target != currentHub) {
+            log.belief("hub chosen", "hub" to target?.value, "before" to currentHub?.value)
+            currentHub = target
+            hubHeardAtMs = nowMs
+        }
+        val report = LoadReport(self.value, scheduler.ownLoads(), quotas.ownTotals().toMap())
+        when {
+            target == null -> Unit
+
+            target == self -> {
+                hub.onReport(report, nowMs)
+                hubHeardAtMs = nowMs
+                serveAsHub(nowMs)
+            }
+
+            else -> membership.view().find { it.id == target }?.let {
+                ports.send(addressOf(it.host), encode(report))
+            }
+        }
+    }
+
+    /** Notes a hub that fell silent, and goes on without news of the peers if that lasts. */
+    private fun checkHub(nowMs: Long) {
+        val silenceMs = nowMs - hubHeardAtMs
+        val limitMs = exchangePeriodMs() * SILENT_PERIODS
+        val hubId = currentHub
+        if (hubId != null && hubId != self && silenceMs > limitMs) {
+            silentUntilMs[hubId] = nowMs + HUB_REST_MS
+            hubHeardAtMs = nowMs
+        }
+        if (isInformed && nowMs - informedAtMs > UNINFORMED_MS) {
+            isInformed = false
+            log.belief("dependency lost", "dependency" to "peers", "ms" to nowMs - informedAtMs)
+            scheduler.updatePeerLoads(emptyMap())
+            quotas.share = 1.0 / hostCount.coerceAtLeast(1)
+        }
+    }
+
+    private var informedAtMs = clock.nowMs()
+
+    private fun chooseHub(nowMs: Long): NodeId? {
+        silentUntilMs.values.removeIf { it <= nowMs }
+        val usable = membership.eligible().filter { it.id !in silentUntilMs }
+        val large = usable.filter { it.cpuCores >= LARGE_CORES }.ifEmpty { usable }
+        return RendezvousHash.pick("load-hub", large.map { it.id })
+    }
+
+    private fun serveAsHub(nowMs: Long) {
+        hub.expire(nowMs)
+        val byId = membership.view().associateBy { it.id.value }
+        hub.hosts().forEach { host ->
+            val summary = hub.summaryFor(host)
+            val message = PeerMessage.Summary(
+                self.value,
+                summary.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
+                summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
+                summary.hostCount
+            )
+            if (host == self.value) {
+                onSummary(message)
+            } else {
+                byId[host]?.let { ports.send(addressOf(it.host), message) }
+            }
+        }
+    }
+
+    private fun onReport(message: PeerMessage.Report) {
+        val report = LoadReport(
+            message.host,
+            message.loads.associate {
+                it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
+            },
+            message.quotas.associate { it.account to it.units }
+        )
+        hub.onReport(report, clock.nowMs())
+        // A host that others take for the hub serves them even if it would choose another.
+        if (currentHub != self) serveAsHub(clock.nowMs())
+    }
+
+    private fun onSummary(message: PeerMessage.Summary) {
+        val nowMs = clock.nowMs()
+        if (message.hub == currentHub?.value) hubHeardAtMs = nowMs
+        informedAtMs = nowMs
+        if (!isInformed) {
+            isInformed = true
+            log.belief("dependency regained", "dependency" to "peers", "hub" to message.hub)
+        }
+        // Hosts that the hub has not heard of may give out their share by themselves.
+        quotas.share = message.hostCount.toDouble() / hostCount.coerceAtLeast(message.hostCount)
+        quotas.onPeerTotals(message.hub, message.quotas.associate { it.account to it.units })
+        scheduler.updatePeerLoads(
+            message.loads.associate {
+                it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
+            }
+        )
+        scheduler.decide(nowMs)
+    }
+
+    private fun encode(report: LoadReport) = PeerMessage.Report(
+        report.host,
+        report.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
+        report.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) }
+    )
+
+    private fun addressOf(ip: String) = SocketAddress(ip, settings.peerPorts.first)
+
+    private companion object {
+        const val RADIX = 36
+        const val PROBE_MS = 500L
+
+        /** The age of what is known of peers; shorter than most requests run. */
+        const val EXCHANGE_MS = 50L
+        const val EXCHANGE_MS_PER_HOST = 2.5
+
+        /** Periods without a summary after which the next host serves as the hub. */
+        const val SILENT_PERIODS = 5
+        const val HUB_REST_MS = 3_000L
+        const val SILENT_MS = 1_000L
+
+        /** The time without any summary after which loads of peers count as unknown. */
+        const val UNINFORMED_MS = 1_000L
+        const val LARGE_CORES = 0.7
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
@@ -0,0 +1,169 @@
+package org.bronzetide.edge.standin
+
+import io.ktor.network.selector.SelectorManager
+import java.net.DatagramSocket
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.EdgeNode
+import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.ConnectionPool
+import org.bronzetide.http.Header
+import org.bronzetide.http.HttpConnection
+import org.bronzetide.http.IncomingRequest
+import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.platform.fleet.HostSettings
+
+/** One edge node before stand-ins of the store and of targets, all on loopback. */
+class EdgeWorld : AutoCloseable {
+    val store = StoreStandIn()
+    val selector = SelectorManager(Dispatchers.IO)
+    val pool = ConnectionPool(selector, MonotonicClock.System)
+    val settings = settings(store.port)
+    val node = EdgeNode(settings)
+    private val servers = ArrayList<AutoCloseable>()
+
+    /** The requests that reached targets, in order. */
+    val arrivals = ConcurrentLinkedQueue<IncomingRequest>()
+
+    /** Registers a target whose answers [handle] gives. */
+    fun target(
+        id: String,
+        service: String = "api",
+        handle: suspend (IncomingRequest, CallerConnection) -> Boolean
+    ) {
+        val server = StandInServer { request, _, connection ->
+            arrivals += request
+            handle(request, connection)
+        }
+        servers += server
+        writeEntry(id, service, server.port, "ready")
+    }
+
+    fun writeEntry(id: String, service: String, port: Int, state: String) = store.write(
+        "servers",
+        id,
+        """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","slots":8,
+            "state":"$state","version":"v1"}"""
+    )
+
+    fun writeManifest(version: Int = 1, routes: String = ROUTES) = store.write(
+        "config",
+        "main",
+        """{"version":$version,"routes":[$routes],
+            "services":[{"name":"api","health_path":"/health","max_conns":50},
+              {"name":"model","health_path":"/health","max_conns":50,"engine":{"slots":8}}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
+              "header_timeout_ms":500,"idle_timeout_ms":15000},
+            "tenants":[{"name":"desk","api_keys":["key-1"],"unit":"tokens","plain_tokens":1,
+              "rate_per_s":100000,"burst":100000}]}"""
+    )
+
+    fun start() = runBlocking {
+        node.start()
+        withTimeout(10_000) { while (!node.isReady) delay(5) }
+    }
+
+    suspend fun connect(): HttpConnection = pool.open("127.0.0.1", settings.callers.port)
+
+    /** Sends one request on a connection of its own and reads the whole answer. */
+    fun ask(
+        path: String,
+        headers: List<Header> = listOf(Header("X-Api-Key", "key-1")),
+        method: String = "POST"
+    ): Reply = runBlocking {
+        withTimeout(10_000) {
+            connect().use { connection ->
+                connection.send(request(path, headers, method))
+                val answer = connection.receive()
+                val body = answer.body.readAll(1_000_000).decodeToString()
+                Reply(answer.status, answer.headers.associate { it.name to it.value }, body)
+            }
+        }
+    }
+
+    fun request(path: String, headers: List<Header>, method: String = "POST") = OutgoingRequest(
+        method,
+        path,
+        listOf(
+            Header("Host", "h.example"),
+            Header("Request-Id", "id-${ids.incrementAndGet()}"),
+            Header("Deadline-Ms", "3000")
+        ) + headers,
+        "body".encodeToByteArray()
+    )
+
+    override fun close() {
+        node.close()
+        servers.forEach { it.close() }
+        store.close()
+        pool.close()
+        selector.close()
+    }
+
+    class Reply(val status: Int, val headers: Map<String, String>, val body: String)
+
+    companion object {
+        private val ids = java.util.concurrent.atomic.AtomicLong()
+
+        const val ROUTES = """
+            {"name":"safe","host":"h.example","path_prefix":"/safe/","kind":"idempotent",
+              "timeout_ms":2000,"target_latency_ms":100,"priority":1,"service":"api",
+              "max_attempts":2},
+            {"name":"unsafe","host":"h.example","path_prefix":"/unsafe/","kind":"non_idempotent",
+              "timeout_ms":1000,"target_latency_ms":100,"priority":1,"service":"api",
+              "max_attempts":1},
+            {"name":"open","host":"h.example","path_prefix":"/open/","kind":"idempotent",
+              "timeout_ms":2000,"target_latency_ms":100,"priority":1,"service":"api",
+              "max_attempts":1,"public":true},
+            {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming",
+              "timeout_ms":5000,"target_latency_ms":400,"priority":0,"service":"model",
+              "max_attempts":2,"resumable":true,"gap_target_ms":300},
+            {"name":"once","host":"h.example","path_prefix":"/once/","kind":"streaming",
+              "timeout_ms":5000,"target_latency_ms":400,"priority":0,"service":"model",
+              "max_attempts":1,"resumable":false,"gap_target_ms":300}"""
+
+        fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+        private fun freeUdpPort(): Int = DatagramSocket(0).use { it.localPort }
+
+        fun settings(storePort: Int, name: String = "edge-1"): HostSettings {
+            val udp = freeUdpPort()
+            val ports = List(3) { freePort() }
+            return HostSettings.parse(
+                """
+                node_name=$name
+                zone=z1
+                ip=127.0.0.1
+                listen.front=127.0.0.1:${ports[0]}
+                listen.ready=127.0.0.1:${ports[1]}
+                listen.control=127.0.0.1:${ports[2]}
+                inner_ports=$udp,$udp
+                seeds=
+                limits.cpu_share=1
+                limits.memory_mb=200
+                bounds.retry_slack=56
+                platform.address=127.0.0.1:$storePort
+                """.trimIndent()
+            )
+        }
+
+        /** A whole answer as a sound target gives it. */
+        suspend fun answer(request: IncomingRequest, connection: CallerConnection): Boolean {
+            connection.send(
+                200,
+                listOf(
+                    Header("Request-Id", request.headers["Request-Id"].orEmpty()),
+                    Header("Response-Signature", "s")
+                ),
+                "answer".encodeToByteArray()
+            )
+            return true
+        }
+
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -0,0 +1,118 @@
+package org.bronzetide.edge.standin
+
+import java.util.TreeMap
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.IncomingRequest
+
+/** A small stand-in of the platform's store: lists and watches, outages and lost history. */
+class StoreStandIn : AutoCloseable {
+    private class Entry(val revision: Long, val body: JsonObject?)
+
+    private val kinds = HashMap<String, TreeMap<String, Entry>>()
+    private var revision = 10L
+    private var oldestRevision = 0L
+
+    /** Whether calls are refused with 503. */
+    @Volatile
+    var isDown = false
+
+    @Volatile
+    var callCount = 0
+
+    private val server = StandInServer { request, _, connection -> answer(request, connection) }
+    val port: Int get() = server.port
+
+    /** Writes an object as its owner would. */
+    @Synchronized
+    fun write(kind: String, name: String, body: String) {
+        kinds.getOrPut(kind) { TreeMap() }[name] =
+            Entry(++revision, Json.parseToJsonElement(body).jsonObject)
+    }
+
+    @Synchronized
+    fun remove(kind: String, name: String) {
+        kinds.getOrPut(kind) { TreeMap() }[name] = Entry(++revision, null)
+    }
+
+    /** Forgets what happened so far, so that older watches fail. */
+    @Synchronized
+    fun compact() {
+        oldestRevision = revision
+        kinds.values.forEach { entries -> entries.values.removeIf { it.body == null } }
+    }
+
+    override fun close() = server.close()
+
+    private suspend fun answer(request: IncomingRequest, connection: CallerConnection): Boolean {
+        callCount++
+        if (isDown) return send(connection, 503, "")
+        val kind = request.path.removePrefix("/objects/").substringBefore('/')
+        val query = request.target.substringAfter('?', "").split('&')
+            .associate { it.substringBefore('=') to it.substringAfter('=') }
+        val watch = query["watch"]?.toLong() ?: return send(connection, 200, listing(kind))
+        val endsAt = System.nanoTime() + query.getValue("wait_ms").toLong() * 1_000_000
+        while (true) {
+            if (isDown) return send(connection, 503, "")
+            if (watch < oldestRevision) return send(connection, 410, "")
+            val events = events(kind, watch)
+            if (events != null || System.nanoTime() > endsAt) {
+                return send(connection, 200, events ?: noEvents())
+            }
+            delay(5)
+        }
+    }
+
+    private suspend fun send(connection: CallerConnection, status: Int, body: String): Boolean {
+        connection.send(status, emptyList(), body.encodeToByteArray())
+        return true
+    }
+
+    @Synchronized
+    private fun listing(kind: String): String = buildJsonObject {
+        putJsonArray("items") {
+            kinds[kind].orEmpty().filterValues { it.body != null }
+                .forEach { (name, entry) -> add(stored(name, entry)) }
+        }
+        put("more", false)
+        put("current_rev", revision)
+    }.toString()
+
+    @Synchronized
+    private fun events(kind: String, after: Long): String? {
+        val news = kinds[kind].orEmpty().filterValues { it.revision > after }
+        if (news.isEmpty()) return null
+        return buildJsonObject {
+            putJsonArray("events") {
+                news.forEach { (name, entry) ->
+                    add(
+                        buildJsonObject {
+                            put("tombstone", entry.body == null)
+                            put("object", stored(name, entry))
+                        }
+                    )
+                }
+            }
+            put("current_rev", revision)
+        }.toString()
+    }
+
+    @Synchronized
+    private fun noEvents(): String = """{"events":[],"current_rev":$revision}"""
+
+    private fun stored(name: String, entry: Entry) = buildJsonObject {
+        putJsonObject("metadata") {
+            put("name", name)
+            put("revision", entry.revision)
+        }
+        entry.body?.let { put("spec", it) }
+    }
+}
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -95,9 +95,9 @@
 
     private suspend fun readChunked(): ByteArray? {
         if (!isInChunk) {
-            remaining = chunkSize(input.readLineStrict(MAX_CHUNK_LINE))
+            remaining = chunkSize(readLine())
             if (remaining == 0L) {
-                while (!input.readLineStrict(MAX_CHUNK_LINE).isNullOrEmpty()) Unit
+                while (readLine().isNotEmpty()) Unit
                 isComplete = true
                 return null
             }
@@ -105,18 +105,19 @@
         }
         val piece = readCounted()
         if (remaining == 0L) {
-            val end = input.readLineStrict(MAX_CHUNK_LINE)
-            if (!end.isNullOrEmpty()) throw MalformedMessageException("chunk without end")
-            if (end == null) throw EOFException("connection ended within a body")
+            if (readLine().isNotEmpty()) throw MalformedMessageException("chunk without end")
             isInChunk = false
         }
         return piece
     }
 
-    private fun chunkSize(line: String?): Long {
-        val digits = line?.substringBefore(';')?.trim()
-            ?: throw EOFException("connection ended within a body")
-        val isHex = digits.isNotEmpty() && digits.all { it.isDigit() || it.lowercaseChar() in 'a'..'f' }
+    private suspend fun readLine(): String = input.readLineStrict(MAX_CHUNK_LINE)
+        ?: throw EOFException("connection ended within a body")
+
+    private fun chunkSize(line: String): Long {
+        val digits = line.substringBefore(';').trim()
+        val isHex = digits.isNotEmpty() &&
+            digits.all { it in '0'..'9' || it.lowercaseChar() in 'a'..'f' }
         return digits.takeIf { isHex }?.toLongOrNull(HEX)
             ?: throw MalformedMessageException("chunk size '$digits'")
     }
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
@@ -0,0 +1,62 @@
+package org.bronzetide.scheduling.fleet
+
+/** What one host reports: its sends that have not ended, and what it took of quotas in all. */
+public data class LoadReport(
+    val host: String,
+    val loads: Map<String, FleetScheduler.PeerLoad>,
+    val quotaTotals: Map<String, Long>
+)
+
+/** What all hosts but the receiver have reported. */
+public data class LoadSummary(
+    val loads: Map<String, FleetScheduler.PeerLoad>,
+    val quotaTotals: Map<String, Long>,
+    /** The hosts that the summary covers, the receiver included. */
+    val hostCount: Int
+)
+
+/**
+ * Adds up the reports of all hosts, for the one host that the others report to.
+ *
+ * Loads of a host that fell silent are dropped after [silentMs]; what it took of quotas stays
+ * counted, so that totals never go back. Single-threaded.
+ */
+public class LoadHub(private val silentMs: Long) {
+    private val reports = HashMap<String, Received>()
+    private val quotaTotals = HashMap<String, Long>()
+
+    /** Takes a host's report. */
+    public fun onReport(report: LoadReport, nowMs: Long) {
+        val before = reports.put(report.host, Received(report, nowMs))?.report?.quotaTotals.orEmpty()
+        report.quotaTotals.forEach { (account, total) ->
+            val news = total - (before[account] ?: 0)
+            quotaTotals.merge(account, news, Long::plus)
+        }
+    }
+
+    /** The hosts that report now. */
+    public fun hosts(): Set<String> = reports.keys
+
+    /** Forgets the hosts that fell silent. */
+    public fun expire(nowMs: Long) {
+        reports.values.removeIf { nowMs - it.atMs > silentMs }
+    }
+
+    /** What all hosts but [receiver] have reported. */
+    public fun summaryFor(receiver: String): LoadSummary {
+        val loads = HashMap<String, FleetScheduler.PeerLoad>()
+        reports.forEach { (host, received) ->
+            if (host == receiver) return@forEach
+            received.report.loads.forEach { (target, load) ->
+                loads.merge(target, load) { a, b ->
+                    FleetScheduler.PeerLoad(a.count + b.count, a.promptTokens + b.promptTokens)
+                }
+            }
+        }
+        val own = reports[receiver]?.report?.quotaTotals.orEmpty()
+        val totals = quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
+        return LoadSummary(loads, totals, reports.size)
+    }
+
+    private class Received(val report: LoadReport, val atMs: Long)
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBook.kt
@@ -0,0 +1,92 @@
+package org.bronzetide.scheduling.fleet
+
+/**
+ * Holds client accounts to quotas that all hosts share.
+ *
+ * Every host keeps a copy of each account's one bucket: it takes what it admits itself at once, and
+ * what the others admitted as soon as it hears of it. A host that hears nothing refills its copy
+ * only with its share of the rate, so that the sum over all hosts stays near the quota.
+ * Single-threaded.
+ */
+public class QuotaBook {
+    private val buckets = HashMap<String, Bucket>()
+    private val ownTotals = HashMap<String, Long>()
+    private var source: String? = null
+    private val peerTotals = HashMap<String, Long>()
+
+    /** The part of each quota's rate that this host may give out by itself; 1 with news of all. */
+    public var share: Double = 1.0
+
+    /**
+     * Takes [units] of [account]'s quota of [perSecond] and [burst] and returns `null`, or returns
+     * the time in milliseconds after which there may be as many.
+     */
+    public fun take(
+        account: String,
+        perSecond: Double,
+        burst: Double,
+        units: Long,
+        nowMs: Long
+    ): Long? {
+        if (perSecond <= 0) return null
+        val bucket = buckets.getOrPut(account) { Bucket(perSecond, burst, nowMs) }
+        bucket.follow(perSecond, burst)
+        bucket.refill(nowMs, share)
+        val needed = minOf(units.toDouble(), burst)
+        if (bucket.level < needed) {
+            return ((needed - bucket.level) / (perSecond * share) * MS_PER_S).toLong() + 1
+        }
+        bucket.level -= units
+        ownTotals.merge(account, units, Long::plus)
+        return null
+    }
+
+    /** Gives back [units] of a request that no target ran. */
+    public fun giveBack(account: String, units: Long) {
+        val bucket = buckets[account] ?: return
+        bucket.level = minOf(bucket.burst, bucket.level + units)
+        ownTotals.merge(account, -units, Long::plus)
+    }
+
+    /** What this host has taken in all, by account. */
+    public fun ownTotals(): Map<String, Long> = ownTotals
+
+    /**
+     * Takes what the other hosts have taken in all, as [from] counts it. The first totals of a new
+     * source say nothing of what is new, and only set the base.
+     */
+    public fun onPeerTotals(from: String, totals: Map<String, Long>) {
+        if (from != source) {
+            source = from
+            peerTotals.clear()
+            peerTotals.putAll(totals)
+            return
+        }
+        totals.forEach { (account, total) ->
+            val news = total - (peerTotals.put(account, total) ?: 0)
+            buckets[account]?.let { it.level = (it.level - news).coerceIn(-it.burst, it.burst) }
+        }
+    }
+
+    private class Bucket(var perSecond: Double, var burst: Double, private var updatedAtMs: Long) {
+        // Others may have given out the rest before this process started.
+        var level = burst * INITIAL_SHARE
+
+        fun follow(perSecond: Double, burst: Double) {
+            this.perSecond = perSecond
+            this.burst = burst
+            level = minOf(level, burst)
+        }
+
+        fun refill(nowMs: Long, share: Double) {
+            val elapsedMs = (nowMs - updatedAtMs).coerceAtLeast(0)
+            level = minOf(burst, level + elapsedMs * perSecond * share / MS_PER_S)
+            updatedAtMs = nowMs
+        }
+    }
+
+    private companion object {
+        const val INITIAL_SHARE = 0.5
+        const val MS_PER_S = 1_000.0
+    }
+}
--- /dev/null
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -0,0 +1,119 @@
+package org.bronzetide.scheduling.fleet
+
+import kotlin.random.Random
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.assertj.core.api.Assertions.assertThat
+
+class FleetSchedulerTest {
+    private val scheduler = FleetScheduler("zone-a", Random(1))
+    private val sent = LinkedHashMap<Long, FleetDecision>()
+
+    @Example
+    fun urgentRequestsGoFirstWhenAPlaceGetsFree() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        enroll(1, priority = 2)
+        enroll(2, priority = 2)
+        enroll(3, priority = 0)
+        assertThat(sent.keys).containsExactly(1L)
+        scheduler.release(1, FleetOutcome.ANSWERED, 10)
+        assertThat(sent.keys).containsExactly(1L, 3L)
+    }
+
+    @Example
+    fun fullTargetsGetNothingMore() {
+        scheduler.updateTargets(listOf(target("t1", slots = 2)))
+        (1L..5L).forEach { enroll(it) }
+        assertThat(sent).hasSize(2)
+        assertThat(scheduler.waitingCount).isEqualTo(3)
+    }
+
+    @Example
+    fun loadsOfPeersCount() {
+        scheduler.updateTargets(listOf(target("t1", slots = 4), target("t2", slots = 4)))
+        scheduler.updatePeerLoads(mapOf("t1" to FleetScheduler.PeerLoad(4, 0)))
+        (1L..4L).forEach { enroll(it) }
+        assertThat(sent.values).allMatch { it == FleetDecision.Send("t2") }
+    }
+
+    @Example
+    fun requestIsRefusedOnceItCannotStartInTime() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        enroll(1)
+        enroll(2, startByMs = 100)
+        scheduler.decide(101)
+        assertThat(sent[2]).isInstanceOf(FleetDecision.Refuse::class.java)
+        scheduler.release(1, FleetOutcome.ANSWERED, 102)
+        assertThat(scheduler.runningCount).isZero()
+    }
+
+    @Example
+    fun leavingTargetsGetNoNewWork() {
+        scheduler.updateTargets(listOf(target("t1", isLeaving = true), target("t2")))
+        (1L..4L).forEach { enroll(it) }
+        assertThat(sent.values).allMatch { it == FleetDecision.Send("t2") }
+    }
+
+    @Example
+    fun failingTargetGetsARestButNeverAllOfThem() {
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        var sequence = 0L
+        repeat(20) {
+            enroll(++sequence)
+            scheduler.release(sequence, FleetOutcome.FAILED, 0)
+        }
+        enroll(++sequence)
+        assertThat(sent[sequence]).isInstanceOf(FleetDecision.Send::class.java)
+    }
+
+    @Example
+    fun withdrawnRequestIsNeverSent() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        enroll(1)
+        enroll(2)
+        scheduler.withdraw(2)
+        scheduler.release(1, FleetOutcome.ANSWERED, 1)
+        assertThat(sent.keys).containsExactly(1L)
+    }
+
+    @Property(tries = 300)
+    fun everyTicketIsDecidedOnceAndPlacesAreNeverOverrun(@ForAll seed: Long) {
+        val random = Random(seed)
+        val subject = FleetScheduler("zone-a", Random(seed))
+        val decisions = HashMap<Long, Int>()
+        val running = HashMap<Long, String>()
+        subject.updateTargets((1..3).map { target("t$it", slots = 2) })
+        var nowMs = 0L
+        repeat(200) { step ->
+            nowMs += random.nextLong(20)
+            if (random.nextInt(3) > 0) {
+                val id = step.toLong()
+                subject.enroll(ticket(id, random.nextInt(3), nowMs + 100), nowMs) {
+                    decisions.merge(id, 1, Int::plus)
+                    if (it is FleetDecision.Send) running[id] = it.targetId
+                }
+            } else {
+                running.keys.randomOrNull(random)?.let {
+                    running.remove(it)
+                    subject.release(it, FleetOutcome.entries.random(random), nowMs)
+                }
+            }
+            subject.decide(nowMs)
+            assertThat(running.values.groupingBy { it }.eachCount().values).allMatch { it <= 2 }
+            assertThat(subject.runningCount).isEqualTo(running.size)
+        }
+        subject.decide(nowMs + 1_000)
+        assertThat(decisions.values).allMatch { it == 1 }
+        assertThat(subject.waitingCount).isZero()
+    }
+
+    private fun enroll(sequence: Long, priority: Int = 1, startByMs: Long = 10_000) =
+        scheduler.enroll(ticket(sequence, priority, startByMs), 0) { sent[sequence] = it }
+
+    private fun ticket(sequence: Long, priority: Int, startByMs: Long) =
+        FleetTicket(sequence, "model", priority, 500, 50, 0, startByMs)
+
+    private fun target(id: String, slots: Int = 8, isLeaving: Boolean = false) =
+        FleetTarget(id, "model", "zone-a", slots, isLeaving, isEngine = true)
+}
