--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -65,7 +65,6 @@
     private val quotas = QuotaBook()
     private val beliefs = BeliefExchange(pool, settings.control.port)
     private val peers = PeerSocket(
-        selector,
         SocketAddress(settings.ip, settings.peerPorts.first),
         log
     ) { message, sender -> control.post { fleet.onMessage(message, sender) } }
@@ -139,7 +138,7 @@
         scope.launch { follow(FleetKinds.MANIFESTS, manifests) }
         scope.launch { follow(FleetKinds.TARGETS, targets) }
         scope.launch { learnFromPeers() }
-        peers.start(scope)
+        peers.start()
         readiness.start(scope)
         operators.start(scope)
         callers.start(scope)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -1,71 +1,71 @@
 package org.bronzetide.edge.peer
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.BoundDatagramSocket
-import io.ktor.network.sockets.Datagram
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.aSocket
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.DatagramChannel
 import java.util.concurrent.atomic.AtomicLong
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
-import kotlinx.io.Buffer
-import kotlinx.io.readByteArray
+import kotlin.concurrent.thread
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.SocketAddress
 
-/** Sends and receives peer messages as datagrams, which have no connection that could go silent. */
+/**
+ * Sends and receives peer messages as datagrams, which have no connection that could go silent.
+ *
+ * A thread of its own waits for datagrams: on the platform's hosts, Ktor's selector notices them
+ * only when a TCP event wakes it.
+ */
 internal class PeerSocket(
-    private val selector: SelectorManager,
     private val address: SocketAddress,
     private val log: DecisionLog,
     private val onMessage: (PeerMessage, String) -> Unit
 ) : AutoCloseable {
-    private var socket: BoundDatagramSocket? = null
-    private val outgoing = Channel<Pair<SocketAddress, PeerMessage>>(OUTGOING_LIMIT)
+    private val channel = DatagramChannel.open()
     private val sent = AtomicLong()
 
     /** The bytes sent so far. */
     val sentBytes: Long get() = sent.get()
 
-    suspend fun start(scope: CoroutineScope) {
-        val bound = aSocket(selector).udp().bind(InetSocketAddress(address.host, address.port))
-        socket = bound
-        scope.launch { for (datagram in bound.incoming) receive(datagram) }
-        scope.launch { for ((to, message) in outgoing) transmit(bound, to, message) }
+    fun start() {
+        channel.bind(InetSocketAddress(address.host, address.port))
+        thread(name = "peers", isDaemon = true) { receiveAll() }
     }
 
-    /** Sends [message] to [to], or drops it if too many wait. */
+    /** Sends [message] to [to]; it may be lost. */
     fun send(to: SocketAddress, message: PeerMessage) {
-        outgoing.trySend(to to message)
-    }
-
-    override fun close() {
-        socket?.close()
-    }
-
-    private suspend fun transmit(
-        bound: BoundDatagramSocket,
-        to: SocketAddress,
-        message: PeerMessage
-    ) {
         val bytes = PeerMessage.codec.encodeToByteArray(message)
         try {
-            bound.send(Datagram(Buffer().apply { write(bytes) }, InetSocketAddress(to.host, to.port)))
+            channel.send(ByteBuffer.wrap(bytes), InetSocketAddress(to.host, to.port))
             sent.addAndGet(bytes.size.toLong())
         } catch (cause: IOException) {
             log.failure("datagram not sent", cause, "to" to to.toString())
         }
     }
 
-    private fun receive(datagram: Datagram) {
-        val sender = (datagram.address as? InetSocketAddress)?.hostname.orEmpty()
+    override fun close() = channel.close()
+
+    private fun receiveAll() {
+        val buffer = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
+        while (true) {
+            buffer.clear()
+            try {
+                val sender = channel.receive(buffer) as? InetSocketAddress ?: continue
+                buffer.flip()
+                decode(ByteArray(buffer.remaining()).also(buffer::get), sender.hostString)
+            } catch (_: ClosedChannelException) {
+                return
+            } catch (cause: IOException) {
+                log.failure("datagram not received", cause)
+            }
+        }
+    }
+
+    private fun decode(bytes: ByteArray, sender: String) {
         try {
-            val bytes = datagram.packet.readByteArray()
             onMessage(PeerMessage.codec.decodeFromByteArray(bytes), sender)
         } catch (cause: SerializationException) {
             log.failure("datagram malformed", cause, "from" to sender)
@@ -73,7 +73,6 @@
     }
 
     private companion object {
-        /** Over one round of summaries to the largest fleet that one hub serves. */
-        const val OUTGOING_LIMIT = 4_096
+        const val MAX_DATAGRAM_BYTES = 65_507
     }
 }
