--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -1,10 +1,12 @@
 package org.bronzetide.edge
 
 import ch.qos.logback.classic.LoggerContext
+import io.ktor.network.selector.SelectorManager
 import java.io.File
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SettingsException
@@ -13,15 +15,19 @@
 
 private const val SETTINGS_VARIABLE = "BRONZETIDE_NODE_FILE"
 private const val BAD_SETTINGS = 2
+private const val BUILD_REQUESTS = 200
+private const val BUILD_LIMIT_MS = 20_000L
 
 /**
  * Runs a process on an entry host of the platform.
  *
  * The settings file is named by the environment variable `BRONZETIDE_NODE_FILE`. With `--check` the
- * settings are only validated. SIGTERM stops the process as planned, SIGHUP
+ * settings are only validated; with `--rehearse` the process sends itself requests and ends, which
+ * the build uses to record the classes for the class-data archive. SIGTERM stops the process as planned, SIGHUP
  * rereads the settings; a file with faults changes nothing.
  */
 public fun main(arguments: Array<String>) {
+    if ("--rehearse" in arguments) return rehearse()
     val settings = readSettings() ?: exitProcess(BAD_SETTINGS)
     if ("--check" in arguments) return
     val node = EdgeNode(settings)
@@ -39,6 +45,10 @@
     stopped.await()
 }
 
+private fun rehearse() = runBlocking {
+    SelectorManager(Dispatchers.IO).use { Rehearsal(it).run(BUILD_REQUESTS, BUILD_LIMIT_MS) }
+}
+
 private fun readSettings(): HostSettings? {
     val path = System.getenv(SETTINGS_VARIABLE)
     return try {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -83,6 +83,9 @@
         settings.bounds.retryWindowMs
     ) { fleet.hostCount }
     private val isFetching = AtomicBoolean()
+
+    @Volatile
+    private var isRehearsed = false
     private val exchange = Exchange(
         Turns(control, clock, scheduler),
         TargetClient(pool, clock),
@@ -119,7 +122,7 @@
 
     /** Whether the process can serve: it knows a manifest and the targets, and does not stop. */
     public val isReady: Boolean
-        get() = !activity.isStopping && manifest() != null && board[Beliefs.areTargetsKnown]
+        get() = isRehearsed && !activity.isStopping && manifest() != null && board[Beliefs.areTargetsKnown]
 
     /** Starts serving. */
     public suspend fun start() {
@@ -138,6 +141,10 @@
         scope.launch { follow(FleetKinds.MANIFESTS, manifests) }
         scope.launch { follow(FleetKinds.TARGETS, targets) }
         scope.launch { learnFromPeers() }
+        scope.launch {
+            Rehearsal(selector).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
+            isRehearsed = true
+        }
         peers.start()
         readiness.start(scope)
         operators.start(scope)
@@ -235,6 +242,10 @@
         /** The store is given this long before peers are asked in its place. */
         const val STORE_FIRST_MS = 400L
         const val MAX_ASKED = 3
+
+        /** Enough that the classes and the first compilations of the whole path are there. */
+        const val REHEARSED_REQUESTS = 60
+        const val REHEARSAL_LIMIT_MS = 1_500L
         const val EXPIRE_MS = 100L
         const val DECIDE_MS = 20L
         const val EVICT_MS = 500L
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
@@ -0,0 +1,213 @@
+package org.bronzetide.edge
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.port
+import java.io.IOException
+import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.coordination.ControlLoop
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.entry.Activity
+import org.bronzetide.edge.entry.CallerSession
+import org.bronzetide.edge.entry.Gate
+import org.bronzetide.edge.flow.Exchange
+import org.bronzetide.edge.flow.TargetClient
+import org.bronzetide.edge.flow.Turns
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.edge.telemetry.EdgeMetrics
+import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.ConnectionPool
+import org.bronzetide.http.Header
+import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.platform.fleet.Account
+import org.bronzetide.platform.fleet.CallerLimits
+import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.platform.fleet.Route
+import org.bronzetide.platform.fleet.RouteKind
+import org.bronzetide.platform.fleet.Service
+import org.bronzetide.platform.fleet.SocketAddress
+import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.platform.fleet.WeightedService
+import org.bronzetide.platform.fleet.WireNames
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.RepeatBudget
+
+/**
+ * Sends requests of its own through the whole path before the process takes callers' ones, so that
+ * these do not wait for classes to load. Caller, target and manifest are made up, on loopback; no
+ * state is shared with the serving parts.
+ */
+internal class Rehearsal(private val selector: SelectorManager) {
+    private val clock = MonotonicClock.System
+    private val log = DecisionLog(clock, isQuiet = true)
+    private val metrics = EdgeMetrics()
+
+    /** Sends [requestCount] requests, or fewer if that takes more than [limitMs] milliseconds. */
+    suspend fun run(requestCount: Int, limitMs: Long) {
+        val target = listen()
+        val entry = listen()
+        ConnectionPool(selector, clock).use { pool ->
+            ControlLoop(clock).use { control ->
+                try {
+                    withTimeoutOrNull(limitMs) { rehearse(requestCount, target, entry, pool, control) }
+                } catch (cause: IOException) {
+                    // The process serves without it, only slower at first.
+                    DecisionLog(clock).failure("rehearsal failed", cause)
+                } finally {
+                    target.close()
+                    entry.close()
+                }
+            }
+        }
+    }
+
+    private suspend fun rehearse(
+        requestCount: Int,
+        target: ServerSocket,
+        entry: ServerSocket,
+        pool: ConnectionPool,
+        control: ControlLoop
+    ) = coroutineScope {
+        control.start()
+        val targetAddress = SocketAddress(LOOPBACK, target.port)
+        val scheduler = FleetScheduler(ZONE, Random.Default)
+        control.call {
+            scheduler.updateTargets(
+                services.map { FleetTarget(it, it, ZONE, SLOTS, false, it == MODEL) }
+            )
+        }
+        val services = sessionServices(pool, control, scheduler, targetAddress)
+        val servers = launch {
+            launchServer(target) { answerAsTarget(it) }
+            launchServer(entry) { CallerSession(it, services).run() }
+        }
+        repeat(requestCount) { ask(pool, entry.port, it) }
+        servers.cancel()
+    }
+
+    private fun sessionServices(
+        pool: ConnectionPool,
+        control: ControlLoop,
+        scheduler: FleetScheduler,
+        address: SocketAddress
+    ): CallerSession.Services {
+        val exchange = Exchange(
+            Turns(control, clock, scheduler),
+            TargetClient(pool, clock),
+            clock,
+            RepeatBudget(1.0, 1.0, LIMIT_MS) { 1 },
+            { TargetEntry(it, it, address, ZONE, SLOTS, isLeaving = false, startedAtMs = 0) },
+            log,
+            metrics
+        )
+        val gate = Gate(clock, { manifest }, NoQuotas)
+        return CallerSession.Services(
+            clock, gate, exchange, { CallerLimits() }, Activity(), log, metrics
+        )
+    }
+
+    private fun CoroutineScope.launchServer(
+        server: ServerSocket,
+        serve: suspend (CallerConnection) -> Unit
+    ) = launch {
+        while (true) {
+            val connection = CallerConnection(server.accept())
+            launch {
+                try {
+                    serve(connection)
+                } catch (cause: CancellationException) {
+                    throw cause
+                } catch (_: IOException) {
+                    // The rehearsal is over.
+                } finally {
+                    connection.close()
+                }
+            }
+        }
+    }
+
+    private suspend fun answerAsTarget(connection: CallerConnection) {
+        while (true) {
+            val request = connection.receive() ?: return
+            request.body.readAll(BODY_BYTES)
+            val headers = listOf(
+                Header(WireNames.REQUEST_ID, request.headers[WireNames.REQUEST_ID].orEmpty()),
+                Header(WireNames.SIGNATURE, "rehearsal")
+            )
+            if (request.path.startsWith(STREAM_PATH)) {
+                connection.start(OK, headers)
+                repeat(EVENTS) { connection.sendPiece("id: $it\ndata: x\n\n".encodeToByteArray()) }
+                connection.finish()
+            } else {
+                connection.send(OK, headers, ByteArray(EVENTS))
+            }
+        }
+    }
+
+    private suspend fun ask(pool: ConnectionPool, port: Int, index: Int) {
+        val connection = pool.acquire(LOOPBACK, port)
+        val path = if (index % 2 == 0) STREAM_PATH else PLAIN_PATH
+        val headers = listOf(
+            Header("Host", HOST),
+            Header(WireNames.REQUEST_ID, "rehearsal-$index"),
+            Header(WireNames.DEADLINE_MS, LIMIT_MS.toString()),
+            Header(WireNames.API_KEY, KEY),
+            Header(WireNames.TOKENS, "100,20")
+        )
+        connection.send(OutgoingRequest("POST", path, headers, ByteArray(BODY_BYTES)))
+        val answer = connection.receive()
+        answer.body.readAll(MAX_ANSWER_BYTES)
+        pool.release(LOOPBACK, port, connection, answer)
+    }
+
+    private suspend fun listen(): ServerSocket =
+        aSocket(selector).tcp().bind(InetSocketAddress(LOOPBACK, 0))
+
+    private object NoQuotas : Gate.Quotas {
+        override suspend fun take(account: Account, units: Long): Long? = null
+
+        override fun giveBack(account: Account, units: Long) = Unit
+    }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val ZONE = "rehearsal"
+        const val HOST = "rehearsal.example"
+        const val KEY = "rehearsal"
+        const val MODEL = "model"
+        const val PLAIN = "plain"
+        const val STREAM_PATH = "/stream/"
+        const val PLAIN_PATH = "/plain/"
+        const val OK = 200
+        const val SLOTS = 4
+        const val EVENTS = 10
+        const val BODY_BYTES = 2_000
+        const val MAX_ANSWER_BYTES = 10_000
+        const val LIMIT_MS = 5_000L
+        val services = listOf(MODEL, PLAIN)
+
+        val manifest = Manifest(
+            1,
+            listOf(
+                route(STREAM_PATH, RouteKind.Streaming(true, LIMIT_MS), MODEL),
+                route(PLAIN_PATH, RouteKind.NonIdempotent, PLAIN)
+            ),
+            mapOf(MODEL to Service(MODEL, "/", SLOTS, Service.Engine(SLOTS, Long.MAX_VALUE))),
+            listOf(Account(ZONE, listOf(KEY), null, true, 1, 0.0, 0.0)),
+            CallerLimits()
+        )
+
+        fun route(path: String, kind: RouteKind, service: String) = Route(
+            path, HOST, path, kind, LIMIT_MS, LIMIT_MS, 0, 1, false,
+            listOf(WeightedService(service, 1.0))
+        )
+    }
+}
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
@@ -11,7 +11,10 @@
  * Lines on requests are bounded by [MAX_REQUEST_LINES_PER_S]; the number of those left out is
  * written once a second. The appender behind it drops lines rather than blocking.
  */
-internal class DecisionLog(private val clock: MonotonicClock) {
+internal class DecisionLog(
+    private val clock: MonotonicClock,
+    private val isQuiet: Boolean = false
+) {
     private val log: Logger = LoggerFactory.getLogger("decisions")
     private var second = 0L
     private var lines = 0
@@ -19,7 +22,7 @@
 
     /** Writes a decision on the request [requestId]. */
     fun request(event: String, requestId: String?, vararg fields: Pair<String, Any?>) {
-        if (takeLine()) write(Level.INFO, event, listOf("requestId" to requestId) + fields)
+        if (!isQuiet && takeLine()) write(Level.INFO, event, listOf("requestId" to requestId) + fields)
     }
 
     /** Writes a change of what the process believes, or of its own state. */
