Share which targets fail, predict the first event, and show status

Cause: each host learned alone that a target had gone silent, at two lost requests each and 2.4 s of patience; a target named by two hosts is now avoided by all. Patience follows the predicted first event. The pace is learned in events, not tokens. Lines at a request's end say the first event, the longest pause and the events.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -31,6 +31,7 @@
 import org.bronzetide.edge.peer.PeerSocket
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
+import org.bronzetide.edge.telemetry.StatusPage
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.platform.fleet.CallerLimits
@@ -86,6 +87,9 @@
 
     @Volatile
     private var isRehearsed = false
+
+    @Volatile
+    private var status = statusPage()
     private val exchange = Exchange(
         Turns(control, clock, scheduler),
         TargetClient(pool, clock),
@@ -115,6 +119,7 @@
     }
 
     private val operatorAnswers: Map<String, () -> ControlServer.Answer> = mapOf(
+        "/status" to { ControlServer.Answer(OK, status.toJson(), "application/json") },
         "/metrics" to { ControlServer.Answer(OK, metrics.scrape()) },
         BeliefExchange.MANIFEST_PATH to { objectsAnswer(manifests.objects) },
         BeliefExchange.TARGETS_PATH to { objectsAnswer(targets.objects) }
@@ -133,7 +138,10 @@
             fleet.start()
             control.timers.every(EXPIRE_MS) { targets.expire() }
             control.timers.every(DECIDE_MS) { scheduler.decide(clock.nowMs()) }
-            control.timers.every(EVICT_MS) { pool.evictStale() }
+            control.timers.every(EVICT_MS) {
+                pool.evictStale()
+                status = statusPage()
+            }
         }
         metrics.gauge("bronzetide.edge.requests.inside") { activity.requestCount }
         metrics.gauge("bronzetide.edge.manifest.version") { manifest()?.version ?: 0 }
@@ -193,6 +201,18 @@
     private suspend fun follow(kind: String, observer: StoreFollower.Observer) =
         StoreFollower(kind, store, clock, log, metrics, observer).run()
 
+    private fun statusPage() = StatusPage(
+        settings.nodeName,
+        isReady,
+        manifest()?.version ?: 0,
+        activity.requestCount,
+        scheduler.waitingCount,
+        fleet.hubName,
+        fleet.isInformedOfPeers,
+        fleet.memberNames(),
+        scheduler.views(clock.nowMs())
+    )
+
     private fun objectsAnswer(objects: List<StoredObject>) =
         ControlServer.Answer(OK, StoredObjectCodec.encodeList(objects), "application/json")
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -156,7 +156,9 @@
         val tookMs = services.clock.nowMs() - call.arrivedAtMs
         services.log.request(
             "ended", call.requestId, "status" to ended.status, "reason" to ended.reason,
-            "notRun" to ended.hasNotRun, "tookMs" to tookMs
+            "notRun" to ended.hasNotRun, "tookMs" to tookMs,
+            "firstEventMs" to ended.stream?.let { it.firstEventAtMs - call.arrivedAtMs },
+            "longestPauseMs" to ended.stream?.longestPauseMs, "events" to ended.stream?.eventCount
         )
         val reason = ended.reason.substringBefore(':').substringBefore('(')
         services.metrics.onEnd(call.priority, ended.status, reason, tookMs)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
@@ -10,6 +10,7 @@
 import org.bronzetide.platform.fleet.Manifest
 import org.bronzetide.platform.fleet.RequestFacts
 import org.bronzetide.platform.fleet.Route
+import org.bronzetide.platform.fleet.Service
 
 /** Finds a request's route and account in the manifest, and holds accounts to their quotas. */
 internal class Gate(
@@ -70,7 +71,7 @@
             body,
             route,
             service,
-            isEngine = known.services[service]?.engine != null,
+            expectedEvents(facts, known.services[service]?.engine),
             account,
             priority = account?.priority ?: route.priority,
             known.version,
@@ -79,6 +80,11 @@
         )
     }
 
+    private fun expectedEvents(facts: RequestFacts, engine: Service.Engine?): Int {
+        val tokens = facts.expectedOutputTokens ?: facts.maxOutputTokens ?: 0
+        return if (engine == null) 0 else tokens / engine.tokensPerEvent
+    }
+
     private fun unitsOf(facts: RequestFacts, account: Account): Long {
         if (!account.countsTokens) return 1
         val prompt = facts.promptTokens ?: return account.plainRequestTokens
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
@@ -13,7 +13,8 @@
     val body: ByteArray,
     val route: Route,
     val service: String,
-    val isEngine: Boolean,
+    /** The pieces in which the answer is expected to come; 0 where it comes at once. */
+    val expectedEvents: Int,
     val account: Account?,
     val priority: Int,
     val manifestVersion: Long,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -21,7 +21,9 @@
     /** Whether the caller's connection may carry another request. */
     val isWhole: Boolean,
     /** Whether no target ran the request. */
-    val hasNotRun: Boolean
+    val hasNotRun: Boolean,
+    /** How the answer's events came, where it was a stream. */
+    val stream: StreamRelay? = null
 )
 
 /**
@@ -72,7 +74,7 @@
                 }
 
                 is FleetDecision.Send -> {
-                    val result = send(state, decision.targetId)
+                    val result = send(state, decision)
                     state.last = result
                     if (!maySendAgain(state, result)) return
                 }
@@ -88,7 +90,7 @@
             call.service,
             call.priority,
             call.facts.promptTokens ?: 0,
-            call.facts.expectedOutputTokens ?: call.facts.maxOutputTokens ?: 0,
+            call.expectedEvents,
             call.arrivedAtMs,
             startByMs = startByMs(state),
             call.facts.lastPromptPart,
@@ -111,8 +113,9 @@
         return minOf(call.endsAtMs, call.arrivedAtMs + givesUpMs) - latency / 2
     }
 
-    private suspend fun send(state: State, targetId: String): SendResult {
+    private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
         val call = state.call
+        val targetId = decision.targetId
         val target = findTarget(targetId)
         if (target == null) {
             turns.release(state.turnSequence, FleetOutcome.CANCELLED)
@@ -123,20 +126,21 @@
             "sent", call.requestId, "target" to targetId, "attempt" to state.sends + 1,
             "route" to call.route.name, "account" to call.account?.name,
             "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
+            "predictedMs" to decision.firstEventMs, "promptTokens" to call.facts.promptTokens,
             "resumesAfter" to state.relay.lastEventId
         )
         state.sends++
         state.isInFlight = true
         var outcome = FleetOutcome.CANCELLED
-        var msPerOutputToken = 0.0
+        var msPerEvent = 0.0
         val result = try {
-            val sent = client.send(call, target, state.relay, patience(state))
+            val sent = client.send(call, target, state.relay, patience(state, decision.firstEventMs))
             outcome = sent.outcome
-            msPerOutputToken = sent.msPerOutputToken
+            msPerEvent = sent.msPerEvent
             state.isInFlight = false
             sent.result
         } finally {
-            turns.release(state.turnSequence, outcome, msPerOutputToken)
+            turns.release(state.turnSequence, outcome, msPerEvent)
         }
         if (outcome != FleetOutcome.ANSWERED) {
             log.request("send failed", call.requestId, "target" to targetId, "why" to "$result")
@@ -168,7 +172,7 @@
         is RouteKind.Streaming -> kind.isResumable
     }
 
-    private fun patience(state: State): TargetClient.Patience {
+    private fun patience(state: State, predictedMs: Long): TargetClient.Patience {
         val call = state.call
         val leftMs = (call.endsAtMs - clock.nowMs()).coerceAtLeast(1)
         val isLastRun = !mayRepeat(call) || state.runs + 1 >= call.route.maxAttempts
@@ -177,7 +181,11 @@
             is RouteKind.Streaming -> kind.maxPauseMs * SILENT_PAUSES
             else -> leftMs
         }
-        val firstMs = maxOf(call.route.targetLatencyMs * SILENT_LATENCIES, MIN_SILENCE_MS)
+        val firstMs = maxOf(
+            call.route.targetLatencyMs * SILENT_LATENCIES,
+            predictedMs * SILENT_PREDICTIONS,
+            MIN_SILENCE_MS
+        )
         return TargetClient.Patience(minOf(firstMs, leftMs), minOf(pauseMs, leftMs))
     }
 
@@ -186,9 +194,9 @@
         if (state.relay.isStarted) {
             if (last is SendResult.Streamed) {
                 state.caller.finish()
-                return Ended(OK, "streamed", isWhole = true, hasNotRun = false)
+                return Ended(OK, "streamed", isWhole = true, hasNotRun = false, state.relay)
             }
-            return Ended(OK, "stream broke off: $last", isWhole = false, hasNotRun = false)
+            return Ended(OK, "stream broke off: $last", isWhole = false, hasNotRun = false, state.relay)
         }
         if (last is SendResult.Answer) {
             state.caller.send(last.status, last.headers, last.body)
@@ -231,8 +239,9 @@
         private const val GIVE_UP_LATENCIES = 4L
         private const val GIVE_UP_PAUSES = 8L
 
-        /** A target counts as silent after this many times the latency or pause aimed for. */
-        private const val SILENT_LATENCIES = 3L
+        // A target counts as silent after the longest of these without an answer or event.
+        private const val SILENT_LATENCIES = 2L
+        private const val SILENT_PREDICTIONS = 3L
         private const val SILENT_PAUSES = 4L
         private const val MIN_SILENCE_MS = 350L
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
@@ -27,6 +27,15 @@
     var eventCount = 0
         private set
 
+    /** When the first event was passed on, or 0. */
+    var firstEventAtMs = 0L
+        private set
+
+    /** The longest time between two events that were passed on, in milliseconds. */
+    var longestPauseMs = 0L
+        private set
+    private var lastEventAtMs = 0L
+
     /**
      * Passes [answer] on to its end and returns the milliseconds between its events, 0 if there
      * were too few to tell.
@@ -60,6 +69,13 @@
     private suspend fun passOn(answer: IncomingAnswer, events: List<EventSplitter.Event>) {
         if (!isStarted) start(answer)
         caller.sendPiece(events.map { it.bytes }.reduce(ByteArray::plus))
+        val nowMs = clock.nowMs()
+        if (eventCount == 0) {
+            firstEventAtMs = nowMs
+        } else {
+            longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventAtMs)
+        }
+        lastEventAtMs = nowMs
         eventCount += events.size
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -23,7 +23,7 @@
  */
 internal class TargetClient(private val pool: ConnectionPool, private val clock: MonotonicClock) {
     /** How one send went, for the scheduler. */
-    class Sent(val result: SendResult, val outcome: FleetOutcome, val msPerOutputToken: Double = 0.0)
+    class Sent(val result: SendResult, val outcome: FleetOutcome, val msPerEvent: Double = 0.0)
 
     /** Sends [call] to [target], going on after the events that [relay] has passed on. */
     suspend fun send(call: Call, target: TargetEntry, relay: StreamRelay, patienceMs: Patience): Sent {
@@ -116,8 +116,8 @@
             if (answer.headers[WireNames.SIGNATURE] == null) {
                 throw IOException("stream without signature")
             }
-            val msPerToken = relay.pass(answer, patience)
-            return Sent(SendResult.Streamed, FleetOutcome.ANSWERED, msPerToken)
+            val msPerEvent = relay.pass(answer, patience)
+            return Sent(SendResult.Streamed, FleetOutcome.ANSWERED, msPerEvent)
         }
         return readWhole(answer)
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Turns.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Turns.kt
@@ -35,8 +35,8 @@
         control.post { scheduler.onFirstEvent(sequence, nowMs) }
     }
 
-    fun release(sequence: Long, outcome: FleetOutcome, msPerOutputToken: Double = 0.0) {
+    fun release(sequence: Long, outcome: FleetOutcome, msPerEvent: Double = 0.0) {
         val nowMs = clock.nowMs()
-        control.post { scheduler.release(sequence, outcome, nowMs, msPerOutputToken) }
+        control.post { scheduler.release(sequence, outcome, nowMs, msPerEvent) }
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -61,6 +61,12 @@
     /** The hosts that are not known to be dead, this one included. */
     val hostCount: Int get() = membership.view().count { it.state != MemberState.DEAD }
 
+    /** The host that this one reports to, or an empty text. */
+    val hubName: String get() = currentHub?.value.orEmpty()
+
+    /** The members with their states, for display. */
+    fun memberNames(): List<String> = membership.view().map { "${it.id.value} ${it.state}" }
+
     /** Whether what the other hosts do is known at present. */
     val isInformedOfPeers: Boolean get() = isInformed
 
@@ -152,7 +158,10 @@
             currentHub = target
             hubHeardAtMs = nowMs
         }
-        val report = LoadReport(self.value, scheduler.ownLoads(), quotas.ownTotals().toMap())
+        val report = LoadReport(
+            self.value, scheduler.ownLoads(),
+            quotas.ownTotals().toMap(), scheduler.suspects(nowMs)
+        )
         when {
             target == null -> Unit
 
@@ -181,6 +190,7 @@
             isInformed = false
             log.belief("dependency lost", "dependency" to "peers", "ms" to nowMs - informedAtMs)
             scheduler.updatePeerLoads(emptyMap())
+            scheduler.updatePeerSuspects(emptySet())
             quotas.share = 1.0 / hostCount.coerceAtLeast(1)
         }
     }
@@ -203,7 +213,8 @@
                 self.value,
                 summary.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
                 summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
-                summary.hostCount
+                summary.hostCount,
+                summary.suspects.toList()
             )
             if (host == self.value) {
                 onSummary(message)
@@ -219,7 +230,8 @@
             message.loads.associate {
                 it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
             },
-            message.quotas.associate { it.account to it.units }
+            message.quotas.associate { it.account to it.units },
+            message.suspects.toSet()
         )
         hub.onReport(report, clock.nowMs())
         // A host that others take for the hub serves them even if it would choose another.
@@ -242,13 +254,15 @@
                 it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
             }
         )
+        scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.decide(nowMs)
     }
 
     private fun encode(report: LoadReport) = PeerMessage.Report(
         report.host,
         report.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
-        report.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) }
+        report.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
+        report.suspects.toList()
     )
 
     private fun addressOf(ip: String) = SocketAddress(ip, settings.peerPorts.first)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -26,7 +26,8 @@
     data class Report(
         @CborLabel(1) val host: String,
         @CborLabel(2) val loads: List<Load>,
-        @CborLabel(3) val quotas: List<QuotaTotal>
+        @CborLabel(3) val quotas: List<QuotaTotal>,
+        @CborLabel(4) val suspects: List<String> = emptyList()
     ) : PeerMessage()
 
     /** The loads of all hosts but the receiver, from the hub. */
@@ -36,7 +37,8 @@
         @CborLabel(1) val hub: String,
         @CborLabel(2) val loads: List<Load>,
         @CborLabel(3) val quotas: List<QuotaTotal>,
-        @CborLabel(4) val hostCount: Int
+        @CborLabel(4) val hostCount: Int,
+        @CborLabel(5) val suspects: List<String> = emptyList()
     ) : PeerMessage()
 
     /** The requests that were sent to a target and have not ended. */
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/StatusPage.kt
@@ -0,0 +1,48 @@
+package org.bronzetide.edge.telemetry
+
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.bronzetide.scheduling.fleet.FleetScheduler
+
+/** What a process believes, as operators see it, taken from memory without a call to the store. */
+internal data class StatusPage(
+    val node: String,
+    val isReady: Boolean,
+    val manifestVersion: Long,
+    val requestCount: Int,
+    val waitingCount: Int,
+    val hub: String,
+    val isInformedOfPeers: Boolean,
+    val members: List<String>,
+    val targets: List<FleetScheduler.TargetView>
+) {
+    /** The page as JSON. */
+    fun toJson(): String = buildJsonObject {
+        put("node", node)
+        put("ready", isReady)
+        put("manifestVersion", manifestVersion)
+        put("requests", requestCount)
+        put("waiting", waitingCount)
+        put("hub", hub)
+        put("informedOfPeers", isInformedOfPeers)
+        putJsonArray("members") { members.forEach { add(it) } }
+        putJsonArray("targets") {
+            targets.forEach { target ->
+                addJsonObject {
+                    put("id", target.id)
+                    put("service", target.service)
+                    put("ownRequests", target.ownCount)
+                    put("peerRequests", target.peerCount)
+                    put("slots", target.slots)
+                    put("paceFactor", target.paceFactor)
+                    put("leaving", target.isLeaving)
+                    put("ejectedForMs", target.ejectedForMs)
+                    put("suspectedByPeers", target.isSuspectedByPeers)
+                }
+            }
+        }
+    }.toString()
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
@@ -16,16 +16,16 @@
     var msPerPromptToken = INITIAL_MS_PER_TOKEN
         private set
 
-    /** Milliseconds between output tokens. */
-    var msPerOutputToken = INITIAL_MS_PER_OUTPUT
+    /** Milliseconds between the events of an answer. */
+    var msPerEvent = INITIAL_MS_PER_EVENT
         private set
 
     fun firstEventMs(load: TargetLoad, promptTokens: Int): Double =
         load.pace.factor * (fixedMs + (load.promptTokens + promptTokens) * msPerPromptToken)
 
-    fun learnOutput(msPerToken: Double) {
-        if (msPerToken <= 0 || !msPerToken.isFinite()) return
-        msPerOutputToken += (msPerToken - msPerOutputToken) * GAIN
+    fun learnPace(observedMsPerEvent: Double) {
+        if (observedMsPerEvent <= 0 || !observedMsPerEvent.isFinite()) return
+        msPerEvent += (observedMsPerEvent - msPerEvent) * GAIN
     }
 
     /** Learns from a first event that took [tookMs] with [aheadTokens] prompt tokens to read. */
@@ -42,7 +42,7 @@
     private companion object {
         const val INITIAL_FIXED_MS = 60.0
         const val INITIAL_MS_PER_TOKEN = 0.015
-        const val INITIAL_MS_PER_OUTPUT = 5.0
+        const val INITIAL_MS_PER_EVENT = 25.0
         const val SHORT_PROMPT_TOKENS = 1_000
         const val GAIN = 0.02
         const val MAX_STEP_MS = 400.0
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -70,14 +70,14 @@
     }
 
     /**
-     * Ends a ticket that was sent. [msPerOutputToken] is the pace of its answer, or 0 if too
+     * Ends a ticket that was sent. [msPerEvent] is the pace of its answer, or 0 if too
      * little came to tell. Repeats have no effect.
      */
     public fun release(
         sequence: Long,
         outcome: FleetOutcome,
         nowMs: Long,
-        msPerOutputToken: Double = 0.0
+        msPerEvent: Double = 0.0
     ) {
         val run = running.remove(sequence) ?: return
         if (!run.hasFirstEvent) run.load.onFirstEvent(run.ticket.promptTokens)
@@ -85,9 +85,9 @@
         when (outcome) {
             FleetOutcome.ANSWERED -> {
                 run.load.onSuccess()
-                if (msPerOutputToken > 0) {
-                    engine.learnOutput(msPerOutputToken)
-                    run.load.pace.learn(msPerOutputToken / engine.msPerOutputToken)
+                if (msPerEvent > 0) {
+                    engine.learnPace(msPerEvent)
+                    run.load.pace.learn(msPerEvent / engine.msPerEvent)
                 }
             }
 
@@ -116,9 +116,29 @@
         decided.forEach { (entry, decision) -> entry.onDecision(decision) }
     }
 
-    /** Whether some target of [service] has room for another request. */
-    public fun hasRoom(service: String, nowMs: Long): Boolean =
-        usable(service, nowMs).any { it.count < it.spec.slots }
+    /** The targets that failed here lately, for the other hosts. */
+    public fun suspects(nowMs: Long): Set<String> =
+        targets.filterValues { it.ejectedUntilMs > nowMs }.keys.toSet()
+
+    /** Takes the targets that failed at other hosts; they are used where no other has room. */
+    public fun updatePeerSuspects(ids: Set<String>) {
+        targets.forEach { (id, load) -> load.isSuspectedByPeers = id in ids }
+    }
+
+    /** What is known of each target, for display. */
+    public fun views(nowMs: Long): List<TargetView> = targets.values.map {
+        TargetView(
+            it.spec.id,
+            it.spec.service,
+            it.ownCount,
+            it.peerCount,
+            it.spec.slots,
+            it.pace.factor,
+            it.spec.isLeaving,
+            (it.ejectedUntilMs - nowMs).coerceAtLeast(0),
+            it.isSuspectedByPeers
+        )
+    }
 
     private fun decisionFor(
         ticket: FleetTicket,
@@ -131,21 +151,25 @@
         if (ticket.service in full) return null
         val best = choose(ticket, nowMs)
         if (best == null) full += ticket.service
-        return best?.let { FleetDecision.Send(it.spec.id) }
+        return best?.let { FleetDecision.Send(it.spec.id, firstEventMs(it, ticket)) }
     }
 
     private fun choose(ticket: FleetTicket, nowMs: Long): TargetLoad? {
         val candidates = usable(ticket.service, nowMs).filter { it.count < it.spec.slots }
-        val preferred = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
-        return preferred.minByOrNull { score(it, ticket) }
+        val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
+        val sound = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
+        return sound.minByOrNull { score(it, ticket) }
     }
 
+    private fun firstEventMs(load: TargetLoad, ticket: FleetTicket): Long =
+        if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens).toLong() else 0
+
     /** The predicted time of [ticket] on [load] in milliseconds, with a little chance. */
     private fun score(load: TargetLoad, ticket: FleetTicket): Double {
         val away = if (load.spec.availabilityZone == zone) 0.0 else OTHER_ZONE_MS
         val crowd = load.count.toDouble() / load.spec.slots
         if (!load.spec.isEngine) return crowd + random.nextDouble() * TIE_SHARE
-        val outputMs = ticket.expectedOutputTokens * engine.msPerOutputToken * load.pace.factor
+        val outputMs = ticket.expectedEvents * engine.msPerEvent * load.pace.factor
         val predictedMs = engine.firstEventMs(load, ticket.promptTokens) +
             outputMs * OUTPUT_WEIGHT * (1 + crowd) + away
         return predictedMs * (1 + random.nextDouble() * TIE_SHARE)
@@ -177,6 +201,21 @@
         return (MIN_RETRY_MS + turnMs + random.nextLong(RETRY_SPREAD_MS)).coerceAtMost(MAX_RETRY_MS)
     }
 
+    /** What this host knows of one target. */
+    public data class TargetView(
+        val id: String,
+        val service: String,
+        val ownCount: Int,
+        val peerCount: Int,
+        val slots: Int,
+        /** How much longer the target takes than is usual. */
+        val paceFactor: Double,
+        val isLeaving: Boolean,
+        /** How much longer the target gets a rest after failures; 0 for none. */
+        val ejectedForMs: Long,
+        val isSuspectedByPeers: Boolean
+    )
+
     /** What another host has sent to a target and has not seen the end of. */
     public data class PeerLoad(val count: Int, val promptTokens: Long)
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -7,7 +7,8 @@
     /** 0 is the most urgent. */
     val priority: Int,
     val promptTokens: Int,
-    val expectedOutputTokens: Int,
+    /** The pieces in which the answer is expected to come; 0 where it comes at once. */
+    val expectedEvents: Int,
     val arrivedAtMs: Long,
     /** The latest time at which the request is still worth sending. */
     val startByMs: Long,
@@ -19,8 +20,8 @@
 
 /** What became of a ticket that waited for a target. */
 public sealed class FleetDecision {
-    /** The request may be sent to the target [targetId]. */
-    public data class Send(val targetId: String) : FleetDecision()
+    /** The request may be sent to [targetId], whose first event is expected in [firstEventMs]. */
+    public data class Send(val targetId: String, val firstEventMs: Long = 0) : FleetDecision()
 
     /** No target takes the request in time; it may come back after [retryAfterMs]. */
     public data class Refuse(val reason: String, val retryAfterMs: Long) : FleetDecision()
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
@@ -1,16 +1,22 @@
 package org.bronzetide.scheduling.fleet
 
-/** What one host reports: its sends that have not ended, and what it took of quotas in all. */
+/** What one host reports of itself. */
 public data class LoadReport(
     val host: String,
+    /** Its sends that have not ended, by target. */
     val loads: Map<String, FleetScheduler.PeerLoad>,
-    val quotaTotals: Map<String, Long>
+    /** What it took of each account's quota in all. */
+    val quotaTotals: Map<String, Long>,
+    /** The targets that failed there lately. */
+    val suspects: Set<String> = emptySet()
 )
 
 /** What all hosts but the receiver have reported. */
 public data class LoadSummary(
     val loads: Map<String, FleetScheduler.PeerLoad>,
     val quotaTotals: Map<String, Long>,
+    /** The targets that failed lately at two hosts or more, or at the only other one. */
+    val suspects: Set<String>,
     /** The hosts that the summary covers, the receiver included. */
     val hostCount: Int
 )
@@ -53,10 +59,19 @@
                 }
             }
         }
+        val counts = reports.filterKeys { it != receiver }.values
+            .flatMap { it.report.suspects }.groupingBy { it }.eachCount()
+        val needed = minOf(WITNESSES, reports.size - 1)
+        val suspects = counts.filterValues { it >= needed }.keys.toSet()
         val own = reports[receiver]?.report?.quotaTotals.orEmpty()
         val totals = quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
-        return LoadSummary(loads, totals, reports.size)
+        return LoadSummary(loads, totals, suspects, reports.size)
     }
 
     private class Received(val report: LoadReport, val atMs: Long)
+
+    private companion object {
+        /** One host alone may have a broken path of its own to a target. */
+        const val WITNESSES = 2
+    }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -14,6 +14,9 @@
     var peerCount = 0
     var peerPromptTokens = 0L
 
+    /** Whether the target failed at other hosts lately. */
+    var isSuspectedByPeers = false
+
     /** How much longer this target takes than is usual, learned from the pace of its answers. */
     val pace = Pace()
 
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -34,7 +34,7 @@
         scheduler.updateTargets(listOf(target("t1", slots = 4), target("t2", slots = 4)))
         scheduler.updatePeerLoads(mapOf("t1" to FleetScheduler.PeerLoad(4, 0)))
         (1L..4L).forEach { enroll(it) }
-        assertThat(sent.values).allMatch { it == FleetDecision.Send("t2") }
+        assertThat(sent.values).allMatch { it is FleetDecision.Send && it.targetId == "t2" }
     }
 
     @Example
@@ -52,7 +52,7 @@
     fun leavingTargetsGetNoNewWork() {
         scheduler.updateTargets(listOf(target("t1", isLeaving = true), target("t2")))
         (1L..4L).forEach { enroll(it) }
-        assertThat(sent.values).allMatch { it == FleetDecision.Send("t2") }
+        assertThat(sent.values).allMatch { it is FleetDecision.Send && it.targetId == "t2" }
     }
 
     @Example
--- /dev/null
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadHubTest.kt
@@ -0,0 +1,46 @@
+package org.bronzetide.scheduling.fleet
+
+import net.jqwik.api.Example
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.scheduling.fleet.FleetScheduler.PeerLoad
+
+class LoadHubTest {
+    private val hub = LoadHub(1_000)
+
+    @Example
+    fun summaryAddsUpAllOthers() {
+        report("a", mapOf("t1" to PeerLoad(1, 10)), mapOf("x" to 5L))
+        report("b", mapOf("t1" to PeerLoad(2, 20), "t2" to PeerLoad(1, 1)), mapOf("x" to 7L))
+        val summary = hub.summaryFor("a")
+        assertThat(summary.loads).isEqualTo(mapOf("t1" to PeerLoad(2, 20), "t2" to PeerLoad(1, 1)))
+        assertThat(summary.quotaTotals).isEqualTo(mapOf("x" to 7L))
+        assertThat(hub.summaryFor("c").loads["t1"]).isEqualTo(PeerLoad(3, 30))
+    }
+
+    @Example
+    fun silentHostsLoadsLapseButItsQuotaUseStays() {
+        report("a", mapOf("t1" to PeerLoad(1, 10)), mapOf("x" to 5L))
+        report("b", emptyMap(), emptyMap(), nowMs = 1_500)
+        hub.expire(1_500)
+        val summary = hub.summaryFor("b")
+        assertThat(summary.loads).isEmpty()
+        assertThat(summary.quotaTotals).isEqualTo(mapOf("x" to 5L))
+    }
+
+    @Example
+    fun aTargetIsSuspectedOnlyOnTwoHostsWord() {
+        report("a", suspects = setOf("t1", "t2"))
+        report("b", suspects = setOf("t1"))
+        report("c")
+        assertThat(hub.summaryFor("c").suspects).containsExactly("t1")
+        assertThat(hub.summaryFor("a").suspects).isEmpty()
+    }
+
+    private fun report(
+        host: String,
+        loads: Map<String, PeerLoad> = emptyMap(),
+        quotaTotals: Map<String, Long> = emptyMap(),
+        suspects: Set<String> = emptySet(),
+        nowMs: Long = 0
+    ) = hub.onReport(LoadReport(host, loads, quotaTotals, suspects), nowMs)
+}
