--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -23,8 +23,8 @@
  *
  * The settings file is named by the environment variable `BRONZETIDE_NODE_FILE`. With `--check` the
  * settings are only validated; with `--rehearse` the process sends itself requests and ends, which
- * the build uses to record the classes for the class-data archive. SIGTERM stops the process as planned, SIGHUP
- * rereads the settings; a file with faults changes nothing.
+ * the build uses to record the classes for the class-data archive. SIGTERM stops the process as
+ * planned, SIGHUP rereads the settings; a file with faults changes nothing.
  */
 public fun main(arguments: Array<String>) {
     if ("--rehearse" in arguments) return rehearse()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -127,7 +127,10 @@
 
     /** Whether the process can serve: it knows a manifest and the targets, and does not stop. */
     public val isReady: Boolean
-        get() = isRehearsed && !activity.isStopping && manifest() != null && board[Beliefs.areTargetsKnown]
+        get() = isRehearsed &&
+            !activity.isStopping &&
+            manifest() != null &&
+            board[Beliefs.areTargetsKnown]
 
     /** Starts serving. */
     public suspend fun start() {
@@ -220,7 +223,9 @@
         if (!isFetching.compareAndSet(false, true)) return
         scope.launch {
             try {
-                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let { manifests.offer(it, "peer $ip") }
+                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let {
+                    manifests.offer(it, "peer $ip")
+                }
             } finally {
                 isFetching.set(false)
             }
@@ -233,7 +238,9 @@
         while (manifest() == null || !board[Beliefs.areTargetsKnown]) {
             val ips = control.call { fleet.peerIps() } + settings.seeds.map { it.host }
             for (ip in ips.filter { it != settings.ip }.distinct().take(MAX_ASKED)) {
-                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let { manifests.offer(it, "peer $ip") }
+                beliefs.fetch(ip, BeliefExchange.MANIFEST_PATH)?.let {
+                    manifests.offer(it, "peer $ip")
+                }
                 val found = beliefs.fetch(ip, BeliefExchange.TARGETS_PATH)
                 if (!found.isNullOrEmpty()) targets.offer(found)
             }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
@@ -57,7 +57,9 @@
         ConnectionPool(selector, clock).use { pool ->
             ControlLoop(clock).use { control ->
                 try {
-                    withTimeoutOrNull(limitMs) { rehearse(requestCount, target, entry, pool, control) }
+                    withTimeoutOrNull(limitMs) {
+                        rehearse(requestCount, target, entry, pool, control)
+                    }
                 } catch (cause: IOException) {
                     // The process serves without it, only slower at first.
                     DecisionLog(clock).failure("rehearsal failed", cause)
@@ -110,7 +112,13 @@
         )
         val gate = Gate(clock, { manifest }, NoQuotas)
         return CallerSession.Services(
-            clock, gate, exchange, { CallerLimits() }, Activity(), log, metrics
+            clock,
+            gate,
+            exchange,
+            { CallerLimits() },
+            Activity(),
+            log,
+            metrics
         )
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/ManifestKeeper.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/ManifestKeeper.kt
@@ -14,11 +14,9 @@
     private val control: ControlLoop,
     private val log: DecisionLog
 ) : StoreFollower.Observer {
-    override suspend fun onListing(listing: Listing) =
-        offer(listing.objects, "listing")
+    override suspend fun onListing(listing: Listing) = offer(listing.objects, "listing")
 
-    override suspend fun onChanges(changes: Changes) =
-        offer(changes.changed, "watch")
+    override suspend fun onChanges(changes: Changes) = offer(changes.changed, "watch")
 
     /** What the manifest in force was decoded from, for peers. */
     @Volatile
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
@@ -1,9 +1,9 @@
 package org.bronzetide.edge.belief
 
 import kotlin.random.Random
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
-import kotlinx.coroutines.currentCoroutineContext
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
@@ -92,7 +92,10 @@
         if (failingSinceMs == null) {
             failingSinceMs = clock.nowMs()
             log.belief(
-                "dependency lost", "dependency" to "store", "kind" to kind, "detail" to detail
+                "dependency lost",
+                "dependency" to "store",
+                "kind" to kind,
+                "detail" to detail
             )
         }
         delay(RETRY_MS + Random.nextLong(RETRY_MS))
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -57,7 +57,10 @@
         val limits = services.limits()
         if (!awaitRequest(limits.idleTimeoutMs)) return false
         val arrivedAtMs = services.clock.nowMs()
-        val request = withTimeoutOrNull(limits.headerTimeoutMs) { connection.receive() ?: endOfInput() }
+        val request = withTimeoutOrNull(limits.headerTimeoutMs) {
+            connection.receive()
+                ?: endOfInput()
+        }
         if (request == null) {
             refuseAndEnd(REQUEST_TIMEOUT)
             return false
@@ -114,8 +117,12 @@
     ): Boolean {
         val id = RequestFacts.of(request.headers).requestId
         services.log.request(
-            "refused", id, "status" to refusal.status, "reason" to refusal.reason,
-            "retryAfterMs" to refusal.retryAfterMs, "path" to request.path
+            "refused",
+            id,
+            "status" to refusal.status,
+            "reason" to refusal.reason,
+            "retryAfterMs" to refusal.retryAfterMs,
+            "path" to request.path
         )
         val keeps = request.keepsConnection && !services.activity.isStopping
         val headers = Exchange.refusalHeaders(id, refusal.retryAfterMs ?: 0)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -134,7 +134,12 @@
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
         val result = try {
-            val sent = client.send(call, target, state.relay, patience(state, decision.firstEventMs))
+            val sent = client.send(
+                call,
+                target,
+                state.relay,
+                patience(state, decision.firstEventMs)
+            )
             outcome = sent.outcome
             msPerEvent = sent.msPerEvent
             state.isInFlight = false
@@ -196,7 +201,13 @@
                 state.caller.finish()
                 return Ended(OK, "streamed", isWhole = true, hasNotRun = false, state.relay)
             }
-            return Ended(OK, "stream broke off: $last", isWhole = false, hasNotRun = false, state.relay)
+            return Ended(
+                OK,
+                "stream broke off: $last",
+                isWhole = false,
+                hasNotRun = false,
+                state.relay
+            )
         }
         if (last is SendResult.Answer) {
             state.caller.send(last.status, last.headers, last.body)
@@ -210,7 +221,9 @@
         val retryAfterMs = state.refusal?.retryAfterMs ?: DEFAULT_RETRY_MS
         val reason = state.refusal?.reason ?: state.last?.toString() ?: "no time left"
         state.caller.send(
-            UNAVAILABLE, refusalHeaders(state.call.requestId, retryAfterMs), ByteArray(0)
+            UNAVAILABLE,
+            refusalHeaders(state.call.requestId, retryAfterMs),
+            ByteArray(0)
         )
         return Ended(UNAVAILABLE, reason, isWhole = true, hasNotRun = true)
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -3,7 +3,6 @@
 import java.io.IOException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
@@ -26,7 +25,12 @@
     class Sent(val result: SendResult, val outcome: FleetOutcome, val msPerEvent: Double = 0.0)
 
     /** Sends [call] to [target], going on after the events that [relay] has passed on. */
-    suspend fun send(call: Call, target: TargetEntry, relay: StreamRelay, patienceMs: Patience): Sent {
+    suspend fun send(
+        call: Call,
+        target: TargetEntry,
+        relay: StreamRelay,
+        patienceMs: Patience
+    ): Sent {
         val connection = try {
             connect(call, target)
         } catch (cause: IOException) {
@@ -107,7 +111,8 @@
         relay: StreamRelay,
         patience: Patience
     ): Sent {
-        val isRefusal = answer.status == MISDIRECTED || answer.headers[WireNames.NOT_EXECUTED] != null
+        val isRefusal =
+            answer.status == MISDIRECTED || answer.headers[WireNames.NOT_EXECUTED] != null
         if (isRefusal) {
             answer.body.readAll(MAX_ANSWER_BYTES)
             return Sent(SendResult.NotRun("target refused, ${answer.status}"), FleetOutcome.REFUSED)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -45,8 +45,13 @@
     private val self = NodeId("${settings.nodeName}~${System.currentTimeMillis().toString(RADIX)}")
     private val membership = Membership(
         Member(
-            self, settings.availabilityZone, settings.ip, settings.peerPorts.first,
-            System.currentTimeMillis(), MemberState.ALIVE, settings.cpuCores
+            self,
+            settings.availabilityZone,
+            settings.ip,
+            settings.peerPorts.first,
+            System.currentTimeMillis(),
+            MemberState.ALIVE,
+            settings.cpuCores
         ),
         clock,
         Random.Default
@@ -101,7 +106,9 @@
     private fun probe() {
         val before = membership.version
         membership.tick().forEach { sendProbe(it.probe, it.to, isAck = false) }
-        val known = membership.view().filter { it.state != MemberState.DEAD }.map { it.host }.toSet()
+        val known = membership.view().filter {
+            it.state != MemberState.DEAD
+        }.map { it.host }.toSet()
         seeds.map { it.host }.filter { it !in known }.forEach { seed ->
             val hello = Membership.Probe(membership.self, emptyList())
             ports.send(addressOf(seed), PeerMessage.Probe(hello, false, ports.manifestVersion()))
@@ -159,8 +166,10 @@
             hubHeardAtMs = nowMs
         }
         val report = LoadReport(
-            self.value, scheduler.ownLoads(),
-            quotas.ownTotals().toMap(), scheduler.suspects(nowMs)
+            self.value,
+            scheduler.ownLoads(),
+            quotas.ownTotals().toMap(),
+            scheduler.suspects(nowMs)
         )
         when {
             target == null -> Unit
@@ -211,7 +220,9 @@
             val summary = hub.summaryFor(host)
             val message = PeerMessage.Summary(
                 self.value,
-                summary.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
+                summary.loads.map {
+                    PeerMessage.Load(it.key, it.value.count, it.value.promptTokens)
+                },
                 summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
                 summary.hostCount,
                 summary.suspects.toList()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
@@ -22,7 +22,11 @@
 
     /** Writes a decision on the request [requestId]. */
     fun request(event: String, requestId: String?, vararg fields: Pair<String, Any?>) {
-        if (!isQuiet && takeLine()) write(Level.INFO, event, listOf("requestId" to requestId) + fields)
+        if (!isQuiet &&
+            takeLine()
+        ) {
+            write(Level.INFO, event, listOf("requestId" to requestId) + fields)
+        }
     }
 
     /** Writes a change of what the process believes, or of its own state. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -28,7 +28,8 @@
         val forged = listOf("Tenant", "Kv-Hold", "Kv-From", "Kv-Backup", "Pin-Ms", "Expect-Replica")
         val reply = world.ask(
             "/unsafe/x?q=1",
-            forged.map { Header(it, "forged") } + Header("X-Api-Key", "key-1") + Header("X-Own", "1")
+            forged.map { Header(it, "forged") } + Header("X-Api-Key", "key-1") +
+                Header("X-Own", "1")
         )
         assertThat(reply.status).isEqualTo(200)
         assertThat(reply.body).isEqualTo("answer")
@@ -82,7 +83,14 @@
         val isFirst = AtomicBoolean(true)
         repeat(2) {
             world.target("t$it") { request, connection ->
-                if (isFirst.getAndSet(false)) refuse(connection) else EdgeWorld.answer(request, connection)
+                if (isFirst.getAndSet(
+                        false
+                    )
+                ) {
+                    refuse(connection)
+                } else {
+                    EdgeWorld.answer(request, connection)
+                }
             }
         }
         startWithManifest()
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
@@ -164,6 +164,5 @@
             )
             return true
         }
-
     }
 }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
@@ -55,7 +55,12 @@
     }
 
     /** Takes back a connection whose last answer, [answer], was read to its end. */
-    public fun release(host: String, port: Int, connection: HttpConnection, answer: IncomingAnswer) {
+    public fun release(
+        host: String,
+        port: Int,
+        connection: HttpConnection,
+        answer: IncomingAnswer
+    ) {
         val isKept = answer.body.isComplete &&
             answer.framing != Framing.UntilClose &&
             !answer.headers.hasToken("Connection", "close")
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -1,7 +1,6 @@
 package org.bronzetide.http
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.discardExact
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readLineStrict
 import java.io.EOFException
@@ -37,7 +36,8 @@
         }
 
         private fun length(values: List<String>): Length {
-            val isNumber = values.size == 1 && values[0].isNotEmpty() &&
+            val isNumber = values.size == 1 &&
+                values[0].isNotEmpty() &&
                 values[0].all { it in '0'..'9' }
             val bytes = if (isNumber) values[0].toLongOrNull() else null
             return Length(bytes ?: throw MalformedMessageException("length '$values'"))
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
@@ -34,7 +34,10 @@
         if (aheadTokens < SHORT_PROMPT_TOKENS) {
             fixedMs += (usualMs - fixedMs).coerceIn(-MAX_STEP_MS, MAX_STEP_MS) * GAIN
         } else {
-            val perToken = ((usualMs - fixedMs) / aheadTokens).coerceIn(MIN_PER_TOKEN, MAX_PER_TOKEN)
+            val perToken = ((usualMs - fixedMs) / aheadTokens).coerceIn(
+                MIN_PER_TOKEN,
+                MAX_PER_TOKEN
+            )
             msPerPromptToken += (perToken - msPerPromptToken) * GAIN
         }
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
@@ -33,7 +33,10 @@
 
     /** Takes a host's report. */
     public fun onReport(report: LoadReport, nowMs: Long) {
-        val before = reports.put(report.host, Received(report, nowMs))?.report?.quotaTotals.orEmpty()
+        val before = reports.put(
+            report.host,
+            Received(report, nowMs)
+        )?.report?.quotaTotals.orEmpty()
         report.quotaTotals.forEach { (account, total) ->
             val news = total - (before[account] ?: 0)
             quotaTotals.merge(account, news, Long::plus)
