--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -91,7 +91,7 @@
             call.priority,
             call.facts.promptTokens ?: 0,
             call.expectedEvents,
-            call.arrivedAtMs,
+            onTimeUntilMs = onTimeUntilMs(call),
             startByMs = startByMs(state),
             call.facts.lastPromptPart,
             state.avoid.toSet()
@@ -99,6 +99,12 @@
         return turns.acquire(ticket)
     }
 
+    /** A request that was refused and came back has less time left than its route gives. */
+    private fun onTimeUntilMs(call: Call): Long {
+        val firstAskedAtMs = call.endsAtMs - call.route.timeoutMs
+        return firstAskedAtMs + call.route.targetLatencyMs - TYPICAL_FIRST_EVENT_MS
+    }
+
     /** A request is sent only while its first event can still come before its caller gives up. */
     private fun startByMs(state: State): Long {
         val call = state.call
@@ -148,6 +154,7 @@
             turns.release(state.turnSequence, outcome, msPerEvent)
         }
         if (outcome != FleetOutcome.ANSWERED) {
+            state.avoid += targetId
             log.request("send failed", call.requestId, "target" to targetId, "why" to "$result")
             metrics.onFailedSend(outcome.name)
         }
@@ -247,6 +254,9 @@
         private const val MAX_SENDS = 4
         private const val DEFAULT_RETRY_MS = 300L
 
+        /** What an engine takes to the first event of a prompt of usual length. */
+        private const val TYPICAL_FIRST_EVENT_MS = 100L
+
         // Callers leave a stream after the longest of these without an event.
         private const val GIVE_UP_MS = 2_000L
         private const val GIVE_UP_LATENCIES = 4L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/SendResult.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/SendResult.kt
@@ -5,7 +5,9 @@
 /** What became of one send of a request to one target. */
 internal sealed class SendResult {
     /** The target's whole answer, of which nothing was passed on yet. */
-    class Answer(val status: Int, val headers: List<Header>, val body: ByteArray) : SendResult()
+    class Answer(val status: Int, val headers: List<Header>, val body: ByteArray) : SendResult() {
+        override fun toString(): String = "Answer(status=$status, bytes=${body.size})"
+    }
 
     /** A stream was passed on to its end. */
     data object Streamed : SendResult()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -33,6 +33,8 @@
     ): Sent {
         val connection = try {
             connect(call, target)
+        } catch (cause: java.net.ConnectException) {
+            return Sent(SendResult.NotRun("refused connection"), FleetOutcome.GONE)
         } catch (cause: IOException) {
             return Sent(
                 SendResult.NotRun("unreachable: ${cause.message}"),
@@ -115,7 +117,9 @@
             answer.status == MISDIRECTED || answer.headers[WireNames.NOT_EXECUTED] != null
         if (isRefusal) {
             answer.body.readAll(MAX_ANSWER_BYTES)
-            return Sent(SendResult.NotRun("target refused, ${answer.status}"), FleetOutcome.REFUSED)
+            val outcome =
+                if (answer.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
+            return Sent(SendResult.NotRun("target refused, ${answer.status}"), outcome)
         }
         if (call.route.kind is RouteKind.Streaming && answer.status in 200..299) {
             if (answer.headers[WireNames.SIGNATURE] == null) {
@@ -134,7 +138,7 @@
         val isFailure = answer.status >= SERVER_FAILURE
         return Sent(
             SendResult.Answer(answer.status, answer.headers.endToEnd(), body),
-            if (isFailure) FleetOutcome.FAILED else FleetOutcome.ANSWERED
+            if (isFailure) FleetOutcome.ERROR else FleetOutcome.ANSWERED
         )
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -6,12 +6,12 @@
  * Decides on one host which waiting request is sent next, and to which target.
  *
  * Engines take requests in the order of their arrival, so urgent work can only be put first here:
- * a target gets no more requests than it runs at once, and the others wait in this queue by
- * priority, then by arrival. The scheduler does no I/O and has no clock; single-threaded.
+ * a target gets no more requests than it runs at once, and the others wait in [WaitingQueue]. The
+ * scheduler does no I/O and has no clock; single-threaded.
  */
 public class FleetScheduler(private val zone: String, private val random: Random) {
     private val targets = LinkedHashMap<String, TargetLoad>()
-    private val waiting = ArrayList<Waiting>()
+    private val waiting = WaitingQueue()
     private val running = HashMap<Long, Run>()
     private val engine = EngineModel()
 
@@ -47,15 +47,13 @@
 
     /** Takes [ticket]; its decision is given to [onDecision], now or by a later call. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
-        val entry = Waiting(ticket, onDecision)
-        val index = waiting.binarySearch(entry, order).let { if (it < 0) -it - 1 else it }
-        waiting.add(index, entry)
+        waiting.add(ticket, onDecision)
         decide(nowMs)
     }
 
     /** Forgets a ticket that still waits. */
     public fun withdraw(sequence: Long) {
-        waiting.removeIf { it.ticket.sequence == sequence }
+        waiting.remove(sequence)
     }
 
     /** Notes the first event of the answer to a ticket that was sent. */
@@ -82,34 +80,22 @@
         val run = running.remove(sequence) ?: return
         if (!run.hasFirstEvent) run.load.onFirstEvent(run.ticket.promptTokens)
         run.load.end()
-        when (outcome) {
-            FleetOutcome.ANSWERED -> {
-                run.load.onSuccess()
-                if (msPerEvent > 0) {
-                    engine.learnPace(msPerEvent)
-                    run.load.pace.learn(msPerEvent / engine.msPerEvent)
-                }
-            }
-
-            FleetOutcome.FAILED, FleetOutcome.UNREACHABLE ->
-                if (run.load.onFailure() && mayEject(run.load.spec.service, nowMs)) {
-                    run.load.eject(nowMs)
-                }
-
-            FleetOutcome.REFUSED, FleetOutcome.CANCELLED -> Unit
+        run.load.onOutcome(outcome, nowMs) { mayEject(run.load.spec.service, nowMs) }
+        if (outcome == FleetOutcome.ANSWERED && msPerEvent > 0) {
+            engine.learnPace(msPerEvent)
+            run.load.pace.learn(msPerEvent / engine.msPerEvent)
         }
         decide(nowMs)
     }
 
     /** Sends and refuses whatever is due now. */
     public fun decide(nowMs: Long) {
+        if (waiting.size == 0) return
         val full = HashSet<String>()
-        val iterator = waiting.iterator()
-        val decided = ArrayList<Pair<Waiting, FleetDecision>>()
-        while (iterator.hasNext()) {
-            val entry = iterator.next()
+        val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
+        for (entry in waiting.inOrder(nowMs)) {
             val decision = decisionFor(entry.ticket, full, nowMs) ?: continue
-            iterator.remove()
+            waiting.remove(entry.ticket.sequence)
             if (decision is FleetDecision.Send) start(entry.ticket, decision.targetId, nowMs)
             decided += entry to decision
         }
@@ -196,7 +182,7 @@
         val slots = targets.values
             .filter { it.spec.service == ticket.service && !it.spec.isLeaving }
             .sumOf { it.spec.slots }.coerceAtLeast(1)
-        val ahead = waiting.count { it.ticket.priority <= ticket.priority }
+        val ahead = waiting.countUpTo(ticket.priority)
         val turnMs = TYPICAL_RUN_MS * ahead / slots
         return (MIN_RETRY_MS + turnMs + random.nextLong(RETRY_SPREAD_MS)).coerceAtMost(MAX_RETRY_MS)
     }
@@ -219,8 +205,6 @@
     /** What another host has sent to a target and has not seen the end of. */
     public data class PeerLoad(val count: Int, val promptTokens: Long)
 
-    private class Waiting(val ticket: FleetTicket, val onDecision: (FleetDecision) -> Unit)
-
     private class Run(
         val ticket: FleetTicket,
         val load: TargetLoad,
@@ -232,7 +216,6 @@
     }
 
     private companion object {
-        val order = compareBy<Waiting>({ it.ticket.priority }, { it.ticket.sequence })
         const val OTHER_ZONE_MS = 2.0
         const val TIE_SHARE = 0.1
         const val OUTPUT_WEIGHT = 0.2
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -9,7 +9,8 @@
     val promptTokens: Int,
     /** The pieces in which the answer is expected to come; 0 where it comes at once. */
     val expectedEvents: Int,
-    val arrivedAtMs: Long,
+    /** The time by which the first event must come for the answer's full value. */
+    val onTimeUntilMs: Long,
     /** The latest time at which the request is still worth sending. */
     val startByMs: Long,
     /** Names the part of the prompt that later requests may share, or `null`. */
@@ -35,12 +36,18 @@
     /** The target refused without running the request. */
     REFUSED,
 
+    /** The target answered that it failed. */
+    ERROR,
+
     /** The target broke off, sent what is no answer, or fell silent. */
     FAILED,
 
-    /** No connection could be made. */
+    /** No connection could be made in time. */
     UNREACHABLE,
 
+    /** Nothing listens at the target's address, or another target does. */
+    GONE,
+
     /** The caller left or its time ran out; says nothing of the target. */
     CANCELLED
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -20,10 +20,10 @@
     /** How much longer this target takes than is usual, learned from the pace of its answers. */
     val pace = Pace()
 
-    var ejectedUntilMs = 0L
-        private set
-    private var failuresInRow = 0
-    private var ejectionCount = 0
+    private val health = TargetHealth()
+
+    /** Until when the target gets a rest after failures. */
+    val ejectedUntilMs: Long get() = health.ejectedUntilMs
 
     val count: Int get() = ownCount + peerCount
     val promptTokens: Long get() = ownPromptTokens + peerPromptTokens
@@ -41,27 +41,9 @@
         ownCount--
     }
 
-    fun onSuccess() {
-        failuresInRow = 0
-        ejectionCount = 0
-    }
-
-    /** Counts a failure and says whether the target should get a rest. */
-    fun onFailure(): Boolean = ++failuresInRow >= FAILURES_TO_EJECT
-
-    fun eject(nowMs: Long) {
-        val shift = ejectionCount.coerceAtMost(MAX_DOUBLINGS)
-        ejectedUntilMs = nowMs + (EJECTION_MS shl shift)
-        ejectionCount++
-        // One more failure after the rest ejects again.
-        failuresInRow = FAILURES_TO_EJECT - 1
-    }
-
-    private companion object {
-        /** Consecutive failures; a grey target that fails four in ten gets there soon. */
-        const val FAILURES_TO_EJECT = 2
-        const val EJECTION_MS = 600L
-        const val MAX_DOUBLINGS = 3
+    /** Notes how a request ended; [mayEject] says whether the target could be spared now. */
+    fun onOutcome(outcome: FleetOutcome, nowMs: Long, mayEject: () -> Boolean) {
+        if (health.onOutcome(outcome) && mayEject()) health.eject(nowMs)
     }
 }
 
