--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -3,7 +3,6 @@
 import java.io.IOException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
@@ -26,9 +25,16 @@
     class Sent(val result: SendResult, val outcome: FleetOutcome, val msPerEvent: Double = 0.0)
 
     /** Sends [call] to [target], going on after the events that [relay] has passed on. */
-    suspend fun send(call: Call, target: TargetEntry, relay: StreamRelay, patienceMs: Patience): Sent {
+    suspend fun send(
+        call: Call,
+        target: TargetEntry,
+        relay: StreamRelay,
+        patienceMs: Patience
+    ): Sent {
         val connection = try {
             connect(call, target)
+        } catch (cause: java.net.ConnectException) {
+            return Sent(SendResult.NotRun("refused connection"), FleetOutcome.GONE)
         } catch (cause: IOException) {
             return Sent(
                 SendResult.NotRun("unreachable: ${cause.message}"),
@@ -107,10 +113,13 @@
         relay: StreamRelay,
         patience: Patience
     ): Sent {
-        val isRefusal = answer.status == MISDIRECTED || answer.headers[WireNames.NOT_EXECUTED] != null
+        val isRefusal =
+            answer.status == MISDIRECTED || answer.headers[WireNames.NOT_EXECUTED] != null
         if (isRefusal) {
             answer.body.readAll(MAX_ANSWER_BYTES)
-            return Sent(SendResult.NotRun("target refused, ${answer.status}"), FleetOutcome.REFUSED)
+            val outcome =
+                if (answer.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
+            return Sent(SendResult.NotRun("target refused, ${answer.status}"), outcome)
         }
         if (call.route.kind is RouteKind.Streaming && answer.status in 200..299) {
             if (answer.headers[WireNames.SIGNATURE] == null) {
@@ -129,7 +138,7 @@
         val isFailure = answer.status >= SERVER_FAILURE
         return Sent(
             SendResult.Answer(answer.status, answer.headers.endToEnd(), body),
-            if (isFailure) FleetOutcome.FAILED else FleetOutcome.ANSWERED
+            if (isFailure) FleetOutcome.ERROR else FleetOutcome.ANSWERED
         )
     }
 
