--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -13,7 +13,6 @@
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 
-private const val SETTINGS_VARIABLE = "BRONZETIDE_NODE_FILE"
 private const val BAD_SETTINGS = 2
 private const val BUILD_REQUESTS = 200
 private const val BUILD_LIMIT_MS = 20_000L
@@ -21,7 +20,7 @@
 /**
  * Runs a process on an entry host of the platform.
  *
- * The settings file is named by the environment variable `BRONZETIDE_NODE_FILE`. With `--check` the
+ * The settings file is named by the environment variable [HostSettings.FILE_VARIABLE]. With `--check` the
  * settings are only validated; with `--rehearse` the process sends itself requests and ends, which
  * the build uses to record the classes for the class-data archive. SIGTERM stops the process as
  * planned, SIGHUP rereads the settings; a file with faults changes nothing.
@@ -50,9 +49,9 @@
 }
 
 private fun readSettings(): HostSettings? {
-    val path = System.getenv(SETTINGS_VARIABLE)
+    val path = System.getenv(HostSettings.FILE_VARIABLE)
     return try {
-        if (path == null) throw SettingsException(listOf("$SETTINGS_VARIABLE is not set"))
+        if (path == null) throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
         HostSettings.parse(File(path).readText())
     } catch (cause: SettingsException) {
         cause.faults.forEach { System.err.println("settings: $it") }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -125,8 +125,7 @@
             "path" to request.path
         )
         val keeps = request.keepsConnection && !services.activity.isStopping
-        val headers = Exchange.refusalHeaders(id, refusal.retryAfterMs ?: 0)
-            .filter { refusal.retryAfterMs != null || it.name != "Retry-After" }
+        val headers = Exchange.refusalHeaders(id, refusal.retryAfterMs)
         connection.send(refusal.status, headers + closing(keeps), ByteArray(0))
         val tookMs = services.clock.nowMs() - arrivedAtMs
         services.metrics.onEnd(refusal.priority, refusal.status, refusal.reason, tookMs)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -116,7 +116,9 @@
         } else {
             maxOf(GIVE_UP_MS, GIVE_UP_LATENCIES * latency, GIVE_UP_PAUSES * streaming.maxPauseMs)
         }
-        return minOf(call.endsAtMs, call.arrivedAtMs + givesUpMs) - latency / 2
+        val endsAtMs = minOf(call.endsAtMs, call.arrivedAtMs + givesUpMs)
+        val neededMs = minOf(latency / 2, (endsAtMs - call.arrivedAtMs) / 2)
+        return endsAtMs - neededMs
     }
 
     private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
@@ -269,9 +271,11 @@
         private const val MIN_SILENCE_MS = 350L
 
         /** The headers of a refusal that promises that the request did not run. */
-        fun refusalHeaders(requestId: String?, retryAfterMs: Long): List<Header> = listOfNotNull(
+        fun refusalHeaders(requestId: String?, retryAfterMs: Long?): List<Header> = listOfNotNull(
             requestId?.let { Header(WireNames.REQUEST_ID, it) },
-            Header(WireNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, retryAfterMs / 1e3))
+            retryAfterMs?.let {
+                Header(WireNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, it / 1e3))
+            }
         )
     }
 }
