--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
@@ -0,0 +1,261 @@
+package org.bronzetide.edge.soak
+
+import io.ktor.network.selector.SelectorManager
+import java.io.File
+import java.io.IOException
+import java.net.DatagramSocket
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+import kotlin.system.exitProcess
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.standin.EdgeWorld
+import org.bronzetide.edge.standin.StoreStandIn
+import org.bronzetide.http.ConnectionPool
+import org.bronzetide.http.Header
+import org.bronzetide.http.HttpConnection
+import org.bronzetide.http.OutgoingRequest
+
+/**
+ * A randomized soak: real processes before stand-ins, callers that keep their connections, and
+ * faults from outside in series that overlap. The same seed gives the same plan of faults; what
+ * the processes make of it depends on the machine.
+ */
+class Soak(seed: Long, private val nodeCount: Int, private val targetCount: Int) : AutoCloseable {
+    private val random = Random(seed)
+    private val folder: File = Files.createTempDirectory("soak-$seed-").toFile()
+    private val store = StoreStandIn()
+    private val storeProxy = FaultProxy(store.port)
+    private val ports = SoakNode.Ports(
+        freePort(), freePort(), freePort(), DatagramSocket(0).use { it.localPort }, storeProxy.port
+    )
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val pool = ConnectionPool(selector, MonotonicClock.System)
+    private val ids = AtomicLong()
+    private var manifestVersion = 1
+    val checker = SoakChecker()
+    private val targets = List(targetCount) {
+        val service = if (it % 2 == 0) "model" else "api"
+        SoakTarget("t$it", service, checker, store, Random(seed + it))
+    }
+    private val nodes = List(nodeCount) {
+        SoakNode("n$it", "127.0.1.${it + 1}", ports, "127.0.1.1:${ports.control}", folder)
+    }
+
+    /** Where the processes' logs are. */
+    val logs: File get() = folder
+
+    /** Runs for [seconds] and returns what was broken. */
+    fun run(seconds: Int): List<String> = runBlocking(Dispatchers.Default) {
+        writeManifest()
+        targets.forEach { it.register("ready") }
+        nodes.forEach { it.start() }
+        val isUp = withTimeoutOrNull(START_MS) { while (!isServing()) delay(100) } != null
+        if (!isUp) return@runBlocking listOf("recover: no node served within $START_MS ms")
+        val load = launch(Dispatchers.IO) { repeat(CALLERS) { launch { callInTurn(it) } } }
+        val faults = launch(Dispatchers.IO) { repeat(FAULT_SERIES) { launch { faultInTurn(it) } } }
+        delay(seconds * 1_000L)
+        faults.cancel()
+        faults.join()
+        checkRecovery()
+        load.cancel()
+        load.join()
+        checker.violations.toList()
+    }
+
+    override fun close() {
+        nodes.forEach { it.close() }
+        targets.forEach { it.close() }
+        storeProxy.close()
+        store.close()
+        pool.close()
+        selector.close()
+    }
+
+    private suspend fun isServing(): Boolean = nodes.all { isServing(it) }
+
+    private suspend fun isServing(node: SoakNode): Boolean = try {
+        pool.open(node.ip, ports.ready).use { connection ->
+            connection.send(OutgoingRequest("GET", "/ready", emptyList()))
+            withTimeoutOrNull(ANSWER_MS) { connection.receive().status } == 200
+        }
+    } catch (_: IOException) {
+        false
+    }
+
+    /** One caller: keeps its connection to a node until that ends. */
+    private suspend fun callInTurn(index: Int) = coroutineScope {
+        val own = Random(index)
+        while (isActive) {
+            val node = nodes[own.nextInt(nodes.size)]
+            try {
+                pool.open(node.ip, ports.callers).use { connection ->
+                    while (ask(connection, SoakKind.entries.random(own), own)) Unit
+                }
+            } catch (_: IOException) {
+                delay(50)
+            }
+        }
+    }
+
+    private suspend fun ask(connection: HttpConnection, kind: SoakKind, own: Random): Boolean {
+        val id = "r${ids.incrementAndGet()}"
+        checker.onAsk(id, kind)
+        val headers = listOf(
+            Header("Host", "h.example"),
+            Header("Request-Id", id),
+            Header("Deadline-Ms", "4000"),
+            Header("X-Api-Key", "key-1"),
+            Header("Token-Usage", "20,10"),
+            Header("Tenant", "forged"),
+            Header("Kv-From", "forged")
+        )
+        val body = ByteArray(own.nextInt(3_000))
+        val isWhole = try {
+            withTimeoutOrNull(ANSWER_MS) {
+                connection.send(OutgoingRequest("POST", kind.path, headers, body))
+                val answer = connection.receive()
+                checker.onAnswer(id, answer.status, answer.body.readAll(MAX_BYTES).decodeToString())
+                true
+            }
+        } catch (_: IOException) {
+            null
+        }
+        if (isWhole == null) checker.onBroken()
+        delay(own.nextLong(20))
+        return isWhole == true && own.nextInt(50) > 0
+    }
+
+    private suspend fun faultInTurn(series: Int) {
+        val own = Random(random.nextInt() + series)
+        while (true) {
+            delay(own.nextLong(300, 1_500))
+            when (own.nextInt(10)) {
+                0 -> restart(nodes.random(own)) { it.kill() }
+
+                1 -> restart(nodes.random(own)) {
+                    it.signal("TERM")
+                    if (!it.awaitEnd()) checker.violations += "stop: ${it.name} did not end"
+                }
+
+                2 -> nodes.random(own).let { node ->
+                    node.signal("STOP")
+                    delay(own.nextLong(200, 3_000))
+                    node.signal("CONT")
+                }
+
+                3 -> nodes.random(own).signal("HUP")
+
+                4 -> during(own, { store.isDown = true }) { store.isDown = false }
+
+                5 -> store.compact()
+
+                6 -> during(own, { storeProxy.fault = LinkFault.entries.random(own) }) {
+                    storeProxy.fault = LinkFault.NONE
+                    storeProxy.resetAll()
+                }
+
+                7 -> targets.random(own).let { target ->
+                    during(own, { target.proxy.fault = LinkFault.entries.random(own) }) {
+                        target.proxy.fault = LinkFault.NONE
+                        target.proxy.resetAll()
+                    }
+                }
+
+                8 -> targets.random(own).let { target ->
+                    during(own, { target.failureShare = 0.4 }) { target.failureShare = 0.0 }
+                }
+
+                else -> targets.random(own).let { target ->
+                    target.register("draining")
+                    writeManifest()
+                    delay(own.nextLong(500, 2_000))
+                    target.register("ready")
+                }
+            }
+        }
+    }
+
+    private suspend fun restart(node: SoakNode, stop: (SoakNode) -> Unit) = synchronized(node) {
+        if (!node.isRunning) return@synchronized
+        stop(node)
+        node.kill()
+        node.start()
+    }
+
+    private suspend fun during(own: Random, begin: () -> Unit, end: () -> Unit) {
+        begin()
+        try {
+            delay(own.nextLong(300, 3_000))
+        } finally {
+            end()
+        }
+    }
+
+    /** After the last fault the system must serve again, within the users' bound. */
+    private suspend fun checkRecovery() {
+        nodes.forEach { it.signal("CONT") }
+        store.isDown = false
+        storeProxy.fault = LinkFault.NONE
+        targets.forEach {
+            it.failureShare = 0.0
+            it.proxy.fault = LinkFault.NONE
+            it.register("ready")
+        }
+        val before = checker.served.get()
+        val isBack = withTimeoutOrNull(RECOVERY_MS) {
+            while (!isServing() || checker.served.get() < before + CALLERS) delay(100)
+        }
+        if (isBack != null) return
+        val missing = nodes.filterNot { isServing(it) }
+            .map { "${it.name} (${if (it.isRunning) "runs" else "does not run"})" }
+        checker.violations += "recover: within $RECOVERY_MS ms not ready: $missing"
+    }
+
+    @Synchronized
+    private fun writeManifest() = store.write(
+        "config",
+        "main",
+        """{"version":${manifestVersion++},"routes":[${EdgeWorld.ROUTES}],
+            "services":[{"name":"api","max_conns":90},
+              {"name":"model","max_conns":90,"engine":{"slots":8}}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
+              "header_timeout_ms":500,"idle_timeout_ms":15000},
+            "tenants":[{"name":"${SoakChecker.ACCOUNT}","api_keys":["key-1"]}]}"""
+    )
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private companion object {
+        const val CALLERS = 16
+        const val FAULT_SERIES = 2
+        const val START_MS = 20_000L
+        const val ANSWER_MS = 6_000L
+        const val RECOVERY_MS = 12_000L
+        const val MAX_BYTES = 1_000_000
+    }
+}
+
+/** `bench/soak --seed N --seconds S [--nodes K] [--targets T]`; ends with 1 if a promise broke. */
+fun main(arguments: Array<String>) {
+    fun option(name: String, default: Int) =
+        arguments.indexOf("--$name").takeIf { it >= 0 }?.let { arguments[it + 1].toInt() } ?: default
+    val seed = option("seed", 1)
+    val soak = Soak(seed.toLong(), option("nodes", 4), option("targets", 6))
+    val violations = soak.use { it.run(option("seconds", 60)) }
+    val checker = soak.checker
+    println(
+        "seed $seed: ${checker.served} served, ${checker.refusals} refused, " +
+            "${checker.failures} failed, ${violations.size} broken; logs in ${soak.logs}"
+    )
+    violations.distinct().take(20).forEach { println("  $it") }
+    exitProcess(if (violations.isEmpty()) 0 else 1)
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakChecker.kt
@@ -0,0 +1,88 @@
+package org.bronzetide.edge.soak
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The kinds of requests that a soak sends. */
+enum class SoakKind(val path: String, val mayRunAgain: Boolean) {
+    SAFE("/safe/", true),
+    UNSAFE("/unsafe/", false),
+    RESUMABLE("/stream/", true),
+    ONCE("/once/", false)
+}
+
+/**
+ * Checks what callers and targets see against what the system promises, while a soak runs.
+ *
+ * Targets report each run, callers each final answer. A refusal's promise holds for good, so it is
+ * checked again at the end.
+ */
+class SoakChecker {
+    private val kinds = ConcurrentHashMap<String, SoakKind>()
+    private val runs = ConcurrentHashMap<String, AtomicInteger>()
+    private val refused = ConcurrentHashMap.newKeySet<String>()
+
+    /** What was broken, a line each. */
+    val violations = ConcurrentLinkedQueue<String>()
+    val served = AtomicInteger()
+    val refusals = AtomicInteger()
+    val failures = AtomicInteger()
+
+    /** A caller is about to send the request [id]. */
+    fun onAsk(id: String, kind: SoakKind) {
+        kinds[id] = kind
+    }
+
+    /** A target begins to run a request. */
+    fun onRun(id: String, account: String?, forged: List<String>) {
+        val kind = kinds[id]
+        if (kind == null) violations += "unasked: a target runs $id, which nobody sent"
+        if (account != ACCOUNT) violations += "unasked: $id runs for account $account"
+        if (forged.isNotEmpty()) violations += "unasked: $id runs with the caller's $forged"
+        val count = runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
+        if (count > 1 && kind?.mayRunAgain == false) violations += "twice: $id ran $count times"
+        if (id in refused && kind?.mayRunAgain == false) violations += "refused: $id ran afterwards"
+    }
+
+    /** A caller got the whole answer [body] with [status] to the request [id]. */
+    fun onAnswer(id: String, status: Int, body: String) {
+        when {
+            status in 200..299 -> {
+                served.incrementAndGet()
+                if (body != expectedBody(id)) violations += "mixed: $id got '${body.take(80)}'"
+            }
+
+            status == 429 || status == 503 || status == 408 || status == 421 -> {
+                refusals.incrementAndGet()
+                refused += id
+                if (kinds[id]?.mayRunAgain == false && runs.containsKey(id)) {
+                    violations += "refused: $id was answered $status and ran"
+                }
+            }
+
+            status == 401 || status == 403 || status == 404 ->
+                violations += "denied: $id was answered $status"
+
+            else -> failures.incrementAndGet()
+        }
+    }
+
+    /** A caller's connection ended without a whole answer. */
+    fun onBroken() {
+        failures.incrementAndGet()
+    }
+
+    /** The answer that any sound run of [id] gives. */
+    fun expectedBody(id: String): String = when (kinds[id]) {
+        SoakKind.RESUMABLE, SoakKind.ONCE -> (1..EVENTS).joinToString("") { event(id, it) }
+        else -> "answer to $id"
+    }
+
+    fun event(id: String, number: Int): String = "id: $number\ndata: $id\n\n"
+
+    companion object {
+        const val ACCOUNT = "desk"
+        const val EVENTS = 12
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
@@ -0,0 +1,73 @@
+package org.bronzetide.edge.soak
+
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** One process of the system, started, signalled and started again from outside. */
+class SoakNode(
+    val name: String,
+    val ip: String,
+    private val ports: Ports,
+    private val seeds: String,
+    private val folder: File
+) : AutoCloseable {
+    /** The ports that all nodes of a soak share, each on its own loopback address. */
+    class Ports(val callers: Int, val ready: Int, val control: Int, val peers: Int, val store: Int)
+
+    private var process: Process? = null
+    private var starts = 0
+
+    val isRunning: Boolean get() = process?.isAlive == true
+
+    fun start() {
+        val settings = File(folder, "$name.conf")
+        settings.writeText(
+            """
+            node_name=$name
+            zone=z1
+            ip=$ip
+            listen.front=$ip:${ports.callers}
+            listen.ready=$ip:${ports.ready}
+            listen.control=$ip:${ports.control}
+            inner_ports=${ports.peers},${ports.peers}
+            seeds=$seeds
+            limits.cpu_share=1
+            limits.memory_mb=200
+            bounds.grace_s=8
+            bounds.retry_slack=56
+            platform.address=127.0.0.1:${ports.store}
+            """.trimIndent()
+        )
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val command = listOf(
+            java, "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-cp", System.getProperty("java.class.path"), "org.bronzetide.edge.EdgeKt"
+        )
+        val log = File(folder, "$name-${starts++}.log")
+        process = ProcessBuilder(command)
+            .apply { environment()["BRONZETIDE_NODE_FILE"] = settings.path }
+            .redirectErrorStream(true).redirectOutput(log).start()
+    }
+
+    fun kill() {
+        process?.destroyForcibly()?.waitFor(WAIT_S, TimeUnit.SECONDS)
+    }
+
+    /** Sends the signal [name], such as TERM, HUP, STOP or CONT, to the process alone. */
+    fun signal(name: String) {
+        val pid = process?.takeIf { it.isAlive }?.pid() ?: return
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor(WAIT_S, TimeUnit.SECONDS)
+    }
+
+    /** Waits for the process to end by itself, and says whether it did. */
+    fun awaitEnd(): Boolean = process?.waitFor(WAIT_S, TimeUnit.SECONDS) ?: true
+
+    override fun close() {
+        signal("CONT")
+        kill()
+    }
+
+    private companion object {
+        const val WAIT_S = 12L
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTargets.kt
@@ -0,0 +1,86 @@
+package org.bronzetide.edge.soak
+
+import kotlin.random.Random
+import kotlinx.coroutines.delay
+import org.bronzetide.edge.standin.StandInServer
+import org.bronzetide.edge.standin.StoreStandIn
+import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.Header
+import org.bronzetide.http.IncomingRequest
+
+/** One target behind a proxy, which fails a share of its requests in one of several ways. */
+class SoakTarget(
+    val id: String,
+    private val service: String,
+    private val checker: SoakChecker,
+    private val store: StoreStandIn,
+    private val random: Random
+) : AutoCloseable {
+    /** The share of requests that the target fails, by refusing, breaking off or spoiling. */
+    @Volatile
+    var failureShare = 0.0
+    private val server = StandInServer { request, _, connection -> answer(request, connection) }
+    val proxy = FaultProxy(server.port)
+
+    fun register(state: String) = store.write(
+        "servers",
+        id,
+        """{"service":"$service","address":"127.0.0.1:${proxy.port}","zone":"z1","slots":8,
+            "state":"$state","version":"v1"}"""
+    )
+
+    override fun close() {
+        proxy.close()
+        server.close()
+    }
+
+    private suspend fun answer(request: IncomingRequest, connection: CallerConnection): Boolean {
+        if (request.headers["Expect-Replica"] != id) {
+            connection.send(421, emptyList(), ByteArray(0))
+            return true
+        }
+        val isFailing = random.nextDouble() < failureShare
+        if (isFailing && random.nextInt(4) == 0) {
+            connection.send(503, listOf(Header("Not-Executed", "1")), ByteArray(0))
+            return true
+        }
+        val requestId = request.headers["Request-Id"].orEmpty()
+        val forged = request.headers.filter { it.value == "forged" }.map { it.name }
+        checker.onRun(requestId, request.headers["Tenant"], forged)
+        val headers =
+            listOf(Header("Request-Id", requestId), Header("Response-Signature", "of $id"))
+        return if (service == "model") {
+            stream(request, requestId, headers, connection, isFailing)
+        } else {
+            delay(random.nextLong(5, 30))
+            if (isFailing && random.nextBoolean()) return false
+            val body = checker.expectedBody(requestId).encodeToByteArray()
+            connection.send(200, headers, body)
+            if (isFailing) connection.send(200, headers, "a late second answer".encodeToByteArray())
+            true
+        }
+    }
+
+    private suspend fun stream(
+        request: IncomingRequest,
+        requestId: String,
+        headers: List<Header>,
+        connection: CallerConnection,
+        isFailing: Boolean
+    ): Boolean {
+        val from = request.headers["Last-Event-Id"]?.toInt() ?: 0
+        val breaksAfter = if (isFailing) from + random.nextInt(SoakChecker.EVENTS) else Int.MAX_VALUE
+        connection.start(200, headers)
+        for (number in from + 1..SoakChecker.EVENTS) {
+            delay(random.nextLong(5, 20))
+            val bytes = checker.event(requestId, number).encodeToByteArray()
+            if (number > breaksAfter) {
+                connection.sendPiece(bytes.copyOf(bytes.size / 2))
+                return false
+            }
+            connection.sendPiece(bytes)
+        }
+        connection.finish()
+        return true
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTest.kt
@@ -0,0 +1,21 @@
+package org.bronzetide.edge.soak
+
+import net.jqwik.api.Example
+import org.assertj.core.api.Assertions.assertThat
+
+/** A short seeded soak for every build, and the seeds that ever failed. */
+class SoakTest {
+    @Example
+    fun promisesHoldUnderRandomFaults() = check(seed = 1)
+
+    private fun check(seed: Long) {
+        Soak(seed, nodeCount = 3, targetCount = 4).use { soak ->
+            assertThat(soak.run(SECONDS)).describedAs("seed $seed, logs in ${soak.logs}").isEmpty()
+            assertThat(soak.checker.served.get()).isPositive()
+        }
+    }
+
+    private companion object {
+        const val SECONDS = 15
+    }
+}
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -10,6 +10,7 @@
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import java.io.EOFException
+import java.io.IOException
 
 /** A request as it is sent; its body is framed by its length. */
 public class OutgoingRequest(
@@ -45,7 +46,13 @@
         internal set
 
     /** Whether nothing arrived since the last answer and the other end is still there. */
-    internal val isQuiet: Boolean get() = input.availableForRead == 0 && !input.isClosedForRead
+    internal val isQuiet: Boolean
+        get() = try {
+            !input.isClosedForRead && input.availableForRead == 0
+        } catch (_: IOException) {
+            // The connection was reset since.
+            false
+        }
 
     /** Sends [request]. */
     public suspend fun send(request: OutgoingRequest) {
--- /dev/null
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
@@ -0,0 +1,83 @@
+package org.bronzetide.http
+
+import io.ktor.network.selector.SelectorManager
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import kotlin.concurrent.thread
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import net.jqwik.api.Example
+import net.jqwik.api.lifecycle.AfterTry
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.coordination.ManualClock
+
+/** What a pool makes of connections that the server ended, reset or kept. */
+class ConnectionPoolTest {
+    private val clock = ManualClock()
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val pool = ConnectionPool(selector, clock)
+    private val server = ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))
+    private val accepted = LinkedBlockingQueue<Socket>()
+
+    init {
+        thread(isDaemon = true) { while (true) accepted += server.accept() }
+    }
+
+    @AfterTry
+    fun close() {
+        pool.close()
+        server.close()
+        selector.close()
+    }
+
+    @Example
+    fun idleConnectionIsUsedAgain() = runBlocking {
+        exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assertThat(pool.acquire(HOST, server.localPort).isReused).isTrue()
+        assertThat(pool.openedCount).isEqualTo(1)
+    }
+
+    @Example
+    fun connectionThatWasResetWhileIdleIsNotUsedAgain() = runBlocking {
+        val socket = exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        socket.setSoLinger(true, 0)
+        socket.close()
+        Thread.sleep(100)
+        pool.evictStale()
+        assertThat(pool.acquire(HOST, server.localPort).isReused).isFalse()
+    }
+
+    @Example
+    fun connectionOnWhichBytesCameUnaskedIsNotUsedAgain() = runBlocking {
+        val socket = exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        socket.getOutputStream().write("HTTP/1.1 200 OK\r\n".encodeToByteArray())
+        Thread.sleep(100)
+        assertThat(pool.acquire(HOST, server.localPort).isReused).isFalse()
+    }
+
+    @Example
+    fun serversOwnIdleLimitIsKept() = runBlocking {
+        exchange("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+        clock.advance(800)
+        assertThat(pool.acquire(HOST, server.localPort).isReused).isFalse()
+    }
+
+    /** Sends a request, answers it with [answer], and gives the server's end of the connection. */
+    private suspend fun exchange(answer: String): Socket {
+        val connection = pool.acquire(HOST, server.localPort)
+        connection.send(OutgoingRequest("GET", "/", emptyList()))
+        val socket = accepted.take()
+        socket.getInputStream().read(ByteArray(1_000))
+        socket.getOutputStream().write(answer.encodeToByteArray())
+        val received = connection.receive()
+        received.body.readAll(100)
+        pool.release(HOST, server.localPort, connection, received)
+        return socket
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+    }
+}
