Answer only the reporter where another hub is meant; new connections for streams that may not be resumed

Cause: found by reading: a host that is not its own choice of hub answered each report with a summary to every host, a message count that grows with the square of the hosts while they disagree. A stream that may not be resumed went out on connections idle for up to 4 s, which targets may have dropped.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -45,6 +45,9 @@
     /** Every known member, this node included. */
     public fun view(): List<Member> = members.values.sortedBy { it.id }
 
+    /** The member [id], or `null` if it is not known. */
+    public fun find(id: NodeId): Member? = members[id]
+
     /** The members that may be given a role: alive, neither suspected nor leaving. */
     public fun eligible(): List<Member> = view().filter { it.state == MemberState.ALIVE }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -4,6 +4,7 @@
 import io.ktor.network.selector.SelectorManager
 import java.io.File
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 import kotlinx.coroutines.Dispatchers
@@ -26,10 +27,14 @@
  * planned, SIGHUP rereads the settings; a file with faults changes nothing.
  */
 public fun main(arguments: Array<String>) {
+    val current = AtomicReference<EdgeNode>()
+    // First of all: until it is handled, the signal ends a Java process.
+    Signal.handle(Signal("HUP")) { current.get()?.let { reload(it) } }
     if ("--rehearse" in arguments) return rehearse()
     val settings = readSettings() ?: exitProcess(BAD_SETTINGS)
     if ("--check" in arguments) return
     val node = EdgeNode(settings)
+    current.set(node)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "stop") {
@@ -39,11 +44,14 @@
             stopped.countDown()
         }
     )
-    Signal.handle(Signal("HUP")) { readSettings()?.let(node::reload) }
     runBlocking { node.start() }
     stopped.await()
 }
 
+private fun reload(node: EdgeNode) {
+    readSettings()?.let(node::reload)
+}
+
 private fun rehearse() = runBlocking {
     SelectorManager(Dispatchers.IO).use { Rehearsal(it).run(BUILD_REQUESTS, BUILD_LIMIT_MS) }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -172,7 +172,7 @@
             is SendResult.NotRun -> false
         }
         if (wasRun) state.runs++
-        if (wasRun && !mayRepeat(call)) return false
+        if (wasRun && !call.route.kind.mayRunAgain) return false
         if (wasRun && state.runs >= call.route.maxAttempts) return false
         if (state.sends >= MAX_SENDS) return false
         val isAllowed = budget.tryRepeat(call.service, clock.nowMs())
@@ -180,16 +180,10 @@
         return isAllowed
     }
 
-    private fun mayRepeat(call: Call): Boolean = when (val kind = call.route.kind) {
-        is RouteKind.Idempotent -> true
-        is RouteKind.NonIdempotent -> false
-        is RouteKind.Streaming -> kind.isResumable
-    }
-
     private fun patience(state: State, predictedMs: Long): TargetClient.Patience {
         val call = state.call
         val leftMs = (call.endsAtMs - clock.nowMs()).coerceAtLeast(1)
-        val isLastRun = !mayRepeat(call) || state.runs + 1 >= call.route.maxAttempts
+        val isLastRun = !call.route.kind.mayRunAgain || state.runs + 1 >= call.route.maxAttempts
         if (isLastRun) return TargetClient.Patience(leftMs, leftMs)
         val pauseMs = when (val kind = call.route.kind) {
             is RouteKind.Streaming -> kind.maxPauseMs * SILENT_PAUSES
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -68,11 +68,10 @@
     private suspend fun connect(call: Call, target: TargetEntry): HttpConnection {
         val address = target.address
         // An idle connection may be gone unnoticed, and what was sent on it cannot be sent again.
-        val isFragile = call.route.kind is RouteKind.NonIdempotent
-        return if (isFragile) {
-            pool.acquireFresh(address.host, address.port)
-        } else {
+        return if (call.route.kind.mayRunAgain) {
             pool.acquire(address.host, address.port)
+        } else {
+            pool.acquireFresh(address.host, address.port)
         }
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -141,7 +141,7 @@
     }
 
     private fun sendProbe(probe: Membership.Probe, to: NodeId, isAck: Boolean) {
-        val member = membership.view().find { it.id == to } ?: return
+        val member = membership.find(to) ?: return
         ports.send(addressOf(member.host), PeerMessage.Probe(probe, isAck, ports.manifestVersion()))
     }
 
@@ -180,7 +180,7 @@
                 serveAsHub(nowMs)
             }
 
-            else -> membership.view().find { it.id == target }?.let {
+            else -> membership.find(target)?.let {
                 ports.send(addressOf(it.host), encode(report))
             }
         }
@@ -215,24 +215,20 @@
 
     private fun serveAsHub(nowMs: Long) {
         hub.expire(nowMs)
-        val byId = membership.view().associateBy { it.id.value }
-        hub.hosts().forEach { host ->
-            val summary = hub.summaryFor(host)
-            val message = PeerMessage.Summary(
-                self.value,
-                summary.loads.map {
-                    PeerMessage.Load(it.key, it.value.count, it.value.promptTokens)
-                },
-                summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
-                summary.hostCount,
-                summary.suspects.toList()
-            )
-            if (host == self.value) {
-                onSummary(message)
-            } else {
-                byId[host]?.let { ports.send(addressOf(it.host), message) }
-            }
-        }
+        hub.hosts().forEach(::sendSummary)
+    }
+
+    private fun sendSummary(host: String) {
+        val summary = hub.summaryFor(host)
+        val message = PeerMessage.Summary(
+            self.value,
+            summary.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
+            summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
+            summary.hostCount,
+            summary.suspects.toList()
+        )
+        if (host == self.value) return onSummary(message)
+        membership.find(NodeId(host))?.let { ports.send(addressOf(it.host), message) }
     }
 
     private fun onReport(message: PeerMessage.Report) {
@@ -246,7 +242,7 @@
         )
         hub.onReport(report, clock.nowMs())
         // A host that others take for the hub serves them even if it would choose another.
-        if (currentHub != self) serveAsHub(clock.nowMs())
+        if (currentHub != self) sendSummary(message.host)
     }
 
     private fun onSummary(message: PeerMessage.Summary) {
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
@@ -17,6 +17,13 @@
     private var process: Process? = null
     private var starts = 0
 
+    private var startedAtNs = 0L
+    private var lastSignalAtNs = 0L
+
+    /** Whether the last signal came so soon after the start that it may have ended the process. */
+    val mayHaveEndedAtStart: Boolean
+        get() = lastSignalAtNs - startedAtNs in 0..START_NS
+
     val isRunning: Boolean get() = process?.isAlive == true
 
     fun start() {
@@ -43,6 +50,7 @@
             java, "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-cp", System.getProperty("java.class.path"), "org.bronzetide.edge.EdgeKt"
         )
+        startedAtNs = System.nanoTime()
         val log = File(folder, "$name-${starts++}.log")
         process = ProcessBuilder(command)
             .apply { environment()["BRONZETIDE_NODE_FILE"] = settings.path }
@@ -55,6 +63,7 @@
 
     /** Sends the signal [name], such as TERM, HUP, STOP or CONT, to the process alone. */
     fun signal(name: String) {
+        lastSignalAtNs = System.nanoTime()
         val pid = process?.takeIf { it.isAlive }?.pid() ?: return
         ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor(WAIT_S, TimeUnit.SECONDS)
     }
@@ -69,5 +78,8 @@
 
     private companion object {
         const val WAIT_S = 12L
+
+        /** What a Java process takes to its main function on a busy machine. */
+        const val START_NS = 3_000_000_000L
     }
 }
