Refuse at once what is clearly beyond reach in the queue, from its end

A ticket is now refused when more are ahead of it than the last second's rate can serve before that time, with a margin of 1.3. Test: FleetSchedulerTest, a burst of ten times the capacity.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -14,6 +14,7 @@
     private val waiting = WaitingQueue()
     private val running = HashMap<Long, Run>()
     private val engine = EngineModel()
+    private val startRates = HashMap<String, StartRate>()
 
     /** The requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
@@ -91,7 +92,7 @@
     /** Sends and refuses whatever is due now. */
     public fun decide(nowMs: Long) {
         if (waiting.size == 0) return
-        val full = HashSet<String>()
+        val full = HashMap<String, Int>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
         for (entry in waiting.inOrder(nowMs)) {
             val decision = decisionFor(entry.ticket, full, nowMs) ?: continue
@@ -126,18 +127,31 @@
         )
     }
 
+    /** Decides on [ticket]; [ahead] counts the tickets that go before it in full services. */
     private fun decisionFor(
         ticket: FleetTicket,
-        full: MutableSet<String>,
+        ahead: MutableMap<String, Int>,
         nowMs: Long
     ): FleetDecision? {
         if (nowMs > ticket.startByMs) {
             return FleetDecision.Refuse("no target in time", retryAfterMs(ticket))
         }
-        if (ticket.service in full) return null
-        val best = choose(ticket, nowMs)
-        if (best == null) full += ticket.service
-        return best?.let { FleetDecision.Send(it.spec.id, firstEventMs(it, ticket)) }
+        val position = ahead[ticket.service]
+        if (position == null) {
+            val best = choose(ticket, nowMs)
+            if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket))
+        } else if (!isWithinReach(ticket, position, nowMs)) {
+            return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket))
+        }
+        ahead[ticket.service] = (position ?: 0) + 1
+        return null
+    }
+
+    /** Whether a ticket with [position] others ahead may get a target in time. */
+    private fun isWithinReach(ticket: FleetTicket, position: Int, nowMs: Long): Boolean {
+        if (position < SURELY_REACHED) return true
+        val rate = startRates[ticket.service] ?: return true
+        return position <= rate.expectedStarts(ticket.startByMs - nowMs, nowMs) * REACH_MARGIN
     }
 
     private fun choose(ticket: FleetTicket, nowMs: Long): TargetLoad? {
@@ -175,6 +189,7 @@
     private fun start(ticket: FleetTicket, targetId: String, nowMs: Long) {
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
+        startRates.getOrPut(ticket.service) { StartRate() }.onStart(nowMs)
         running[ticket.sequence] = Run(ticket, load, nowMs, load.promptTokens)
     }
 
@@ -216,6 +231,11 @@
     }
 
     private companion object {
+        /** So few ahead are no reason to refuse, whatever the rate. */
+        const val SURELY_REACHED = 6
+
+        /** Refuses only what is clearly beyond reach, as the rate of a second is no certainty. */
+        const val REACH_MARGIN = 1.3
         const val OTHER_ZONE_MS = 2.0
         const val TIE_SHARE = 0.1
         const val OUTPUT_WEIGHT = 0.2
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -67,6 +67,21 @@
         assertThat(sent[sequence]).isInstanceOf(FleetDecision.Send::class.java)
     }
 
+    /** The load pattern: a burst of ten times what the targets take. */
+    @Example
+    fun tailOfAQueueThatCannotBeReachedIsRefusedAtOnceLeastUrgentFirst() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        (1L..11L).forEach {
+            enroll(it, priority = 0)
+            scheduler.release(it, FleetOutcome.ANSWERED, 0)
+        }
+        (100L..160L).forEach { enroll(it, priority = (it % 2).toInt(), startByMs = 1_000) }
+        val refused = sent.filterValues { it is FleetDecision.Refuse }.keys
+        assertThat(refused).hasSizeBetween(40, 50)
+        assertThat(refused.filter { it % 2 == 0L }.size).isLessThan(20)
+        assertThat(scheduler.waitingCount).isBetween(6, 20)
+    }
+
     @Example
     fun withdrawnRequestIsNeverSent() {
         scheduler.updateTargets(listOf(target("t1", slots = 1)))
