--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -19,12 +19,13 @@
 private const val BUILD_LIMIT_MS = 20_000L
 
 /**
- * Runs a process on an entry host of the platform.
+ * Runs a process on an entry host of the platform, with the settings that the environment names.
  *
- * The settings file is named by the environment variable [HostSettings.FILE_VARIABLE]. With `--check` the
- * settings are only validated; with `--rehearse` the process sends itself requests and ends, which
- * the build uses to record the classes for the class-data archive. SIGTERM stops the process as
- * planned, SIGHUP rereads the settings; a file with faults changes nothing.
+ * With `--check` the settings are only validated; with `--rehearse` the process sends itself
+ * requests and ends, by which the build records the classes for the class-data archive.
+ *
+ * SIGTERM stops the process as planned. SIGHUP rereads the settings; a file with faults changes
+ * nothing.
  */
 public fun main(arguments: Array<String>) {
     val current = AtomicReference<EdgeNode>()
@@ -59,7 +60,11 @@
 private fun readSettings(): HostSettings? {
     val path = System.getenv(HostSettings.FILE_VARIABLE)
     return try {
-        if (path == null) throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
+        if (path ==
+            null
+        ) {
+            throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
+        }
         HostSettings.parse(File(path).readText())
     } catch (cause: SettingsException) {
         cause.faults.forEach { System.err.println("settings: $it") }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -101,7 +101,7 @@
     )
     private val services = CallerSession.Services(
         clock,
-        Gate(clock, ::manifest, SharedQuotas(control, clock, quotas, settings.bounds)),
+        Gate(::manifest, SharedQuotas(control, clock, quotas, settings.bounds)),
         exchange,
         { manifest()?.limits ?: CallerLimits() },
         activity,
@@ -112,7 +112,9 @@
         CallerSession(CallerConnection(it), services).run()
     }
     private val readiness = CallerServer(selector, settings.readiness, log) {
-        ControlServer(mapOf(HostSettings.READINESS_PATH to ::readinessAnswer)).serve(CallerConnection(it))
+        ControlServer(
+            mapOf(HostSettings.READINESS_PATH to ::readinessAnswer)
+        ).serve(CallerConnection(it))
     }
     private val operators = CallerServer(selector, settings.control, log) {
         ControlServer(operatorAnswers).serve(CallerConnection(it))
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
@@ -110,7 +110,7 @@
             log,
             metrics
         )
-        val gate = Gate(clock, { manifest }, NoQuotas)
+        val gate = Gate({ manifest }, NoQuotas)
         return CallerSession.Services(
             clock,
             gate,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
-import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.flow.Admission
 import org.bronzetide.edge.flow.Call
 import org.bronzetide.http.IncomingRequest
@@ -13,11 +12,7 @@
 import org.bronzetide.platform.fleet.Service
 
 /** Finds a request's route and account in the manifest, and holds accounts to their quotas. */
-internal class Gate(
-    private val clock: MonotonicClock,
-    private val manifest: () -> Manifest?,
-    private val quotas: Quotas
-) {
+internal class Gate(private val manifest: () -> Manifest?, private val quotas: Quotas) {
     private val sequences = AtomicLong()
 
     /** The quotas of accounts. */
@@ -73,7 +68,6 @@
             service,
             expectedEvents(facts, known.services[service]?.engine),
             account,
-            priority = account?.priority ?: route.priority,
             known.version,
             arrivedAtMs,
             endsAtMs = arrivedAtMs + waitsMs
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
@@ -16,13 +16,15 @@
     /** The pieces in which the answer is expected to come; 0 where it comes at once. */
     val expectedEvents: Int,
     val account: Account?,
-    val priority: Int,
     val manifestVersion: Long,
     val arrivedAtMs: Long,
     /** When the caller stops waiting or the route's time is over, whichever comes first. */
     val endsAtMs: Long
 ) {
     val requestId: String? get() = facts.requestId
+
+    /** 0 is the most urgent; an account's own goes before its route's. */
+    val priority: Int get() = account?.priority ?: route.priority
 }
 
 /** What admission decided on a request. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
@@ -35,7 +35,11 @@
     private val store = StoreStandIn()
     private val storeProxy = FaultProxy(store.port)
     private val ports = SoakNode.Ports(
-        freePort(), freePort(), freePort(), DatagramSocket(0).use { it.localPort }, storeProxy.port
+        freePort(),
+        freePort(),
+        freePort(),
+        DatagramSocket(0).use { it.localPort },
+        storeProxy.port
     )
     private val selector = SelectorManager(Dispatchers.IO)
     private val pool = ConnectionPool(selector, MonotonicClock.System)
@@ -267,7 +271,8 @@
 /** `bench/soak --seed N --seconds S [--nodes K] [--targets T]`; ends with 1 if a promise broke. */
 fun main(arguments: Array<String>) {
     fun option(name: String, default: Int) =
-        arguments.indexOf("--$name").takeIf { it >= 0 }?.let { arguments[it + 1].toInt() } ?: default
+        arguments.indexOf("--$name").takeIf { it >= 0 }?.let { arguments[it + 1].toInt() }
+            ?: default
     val seed = option("seed", 1)
     val soak = Soak(seed.toLong(), option("nodes", 4), option("targets", 6))
     val violations = soak.use { it.run(option("seconds", 60)) }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
@@ -47,8 +47,14 @@
         )
         val java = File(System.getProperty("java.home"), "bin/java").path
         val command = listOf(
-            java, "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-            "-cp", System.getProperty("java.class.path"), "org.bronzetide.edge.EdgeKt"
+            java,
+            "-Xmx64m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.bronzetide.edge.EdgeKt"
         )
         startedAtNs = System.nanoTime()
         val log = File(folder, "$name-${starts++}.log")
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTargets.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTarget.kt
@@ -69,7 +69,13 @@
         isFailing: Boolean
     ): Boolean {
         val from = request.headers["Last-Event-Id"]?.toInt() ?: 0
-        val breaksAfter = if (isFailing) from + random.nextInt(SoakChecker.EVENTS) else Int.MAX_VALUE
+        val breaksAfter = if (isFailing) {
+            from + random.nextInt(
+                SoakChecker.EVENTS
+            )
+        } else {
+            Int.MAX_VALUE
+        }
         connection.start(200, headers)
         for (number in from + 1..SoakChecker.EVENTS) {
             delay(random.nextLong(5, 20))
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetHealth.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetHealth.kt
@@ -63,7 +63,7 @@
     private companion object {
         const val FAILURES_TO_EJECT = 2
 
-        /** Over twice the share of errors that sound targets give on their worst kind of request. */
+        /** Over twice the share of errors of sound targets on their worst kind of request. */
         const val FAILURE_SHARE_TO_EJECT = 0.35
         const val GAIN = 0.15
         const val REST_MS = 700L
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaBookTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaBookTest.kt
@@ -43,11 +43,10 @@
         while (nowMs < 20_000) {
             nowMs += 10
             hosts.forEach { (_, book) ->
-                if (random.nextInt(4) == 0) {
-                    val units = random.nextLong(50, 400)
-                    val isAdmitted = book.take("a", perSecond, perSecond, units, nowMs) == null
-                    if (isAdmitted) admitted += nowMs to units
-                }
+                val units = askedUnits(random)
+                val waitMs =
+                    if (units > 0) book.take("a", perSecond, perSecond, units, nowMs) else 1
+                if (waitMs == null) admitted += nowMs to units
             }
             if (nowMs % 100 == 0L) exchange(hosts, hub, random, nowMs)
         }
@@ -62,6 +61,10 @@
         assertThat(steady).isGreaterThan(perSecond * 0.85)
     }
 
+    /** A host is asked in one step of four. */
+    private fun askedUnits(random: Random): Long =
+        if (random.nextInt(4) == 0) random.nextLong(50, 400) else 0
+
     private fun exchange(
         hosts: List<Pair<String, QuotaBook>>,
         hub: LoadHub,
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
@@ -29,9 +29,10 @@
         assertThat(order(nowMs = 1_700)).containsExactly(1, 2)
     }
 
-    private fun add(sequence: Long, priority: Int, onTimeUntilMs: Long, startByMs: Long) = queue.add(
-        FleetTicket(sequence, "model", priority, 500, 50, onTimeUntilMs, startByMs)
-    ) {}
+    private fun add(sequence: Long, priority: Int, onTimeUntilMs: Long, startByMs: Long) =
+        queue.add(
+            FleetTicket(sequence, "model", priority, 500, 50, onTimeUntilMs, startByMs)
+        ) {}
 
     private fun order(nowMs: Long) = queue.inOrder(nowMs).map { it.ticket.sequence }
 }
