Take an answer without length that was reset on the way for broken, not for whole

Found by a test of that case, which failed first; ruled out by tests: bodies with a length or in chunks.

--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -124,8 +124,11 @@
 
     private suspend fun readToClose(): ByteArray? {
         val count = input.readAvailable(buffer, 0, PIECE_BYTES)
-        isComplete = count < 0
-        return if (count < 0) null else buffer.copyOf(count)
+        if (count >= 0) return buffer.copyOf(count)
+        // The channel reports the end of a connection that was reset like an orderly one.
+        input.closedCause?.let { throw IOException("connection reset within a body", it) }
+        isComplete = true
+        return null
     }
 
     private companion object {
--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.http
 
 import io.ktor.network.selector.SelectorManager
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -11,6 +12,7 @@
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
 import org.assertj.core.api.Assertions.assertThat
+import org.assertj.core.api.Assertions.assertThatThrownBy
 import org.bronzetide.coordination.ManualClock
 
 /** What a pool makes of connections that the server ended, reset or kept. */
@@ -64,6 +66,36 @@
         assertThat(pool.acquire(HOST, server.localPort).isReused).isFalse()
     }
 
+    @Example
+    fun answerWithoutLengthThatIsResetOnTheWayIsNotWhole() = runBlocking {
+        val connection = pool.acquire(HOST, server.localPort)
+        connection.send(OutgoingRequest("GET", "/", emptyList()))
+        val socket = accepted.take()
+        socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhalf".encodeToByteArray())
+        val received = connection.receive()
+        assertThat(received.body.readPiece()?.decodeToString()).isEqualTo("half")
+        socket.setSoLinger(true, 0)
+        socket.close()
+        assertThatThrownBy { runBlocking { received.body.readPiece() } }
+            .isInstanceOf(IOException::class.java)
+        assertThat(received.body.isComplete).isFalse()
+    }
+
+    @Example
+    fun answerWithoutLengthEndsWithItsConnection() = runBlocking {
+        val connection = pool.acquire(HOST, server.localPort)
+        connection.send(OutgoingRequest("GET", "/", emptyList()))
+        val socket = accepted.take()
+        socket.getInputStream().read(ByteArray(1_000))
+        socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nall".encodeToByteArray())
+        socket.close()
+        val received = connection.receive()
+        assertThat(received.body.readAll(100).decodeToString()).isEqualTo("all")
+        pool.release(HOST, server.localPort, connection, received)
+        pool.evictStale()
+        assertThat(received.body.isComplete).isTrue()
+    }
+
     /** Sends a request, answers it with [answer], and gives the server's end of the connection. */
     private suspend fun exchange(answer: String): Socket {
         val connection = pool.acquire(HOST, server.localPort)
