--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -116,7 +116,9 @@
         } else {
             maxOf(GIVE_UP_MS, GIVE_UP_LATENCIES * latency, GIVE_UP_PAUSES * streaming.maxPauseMs)
         }
-        return minOf(call.endsAtMs, call.arrivedAtMs + givesUpMs) - latency / 2
+        val endsAtMs = minOf(call.endsAtMs, call.arrivedAtMs + givesUpMs)
+        val neededMs = minOf(latency / 2, (endsAtMs - call.arrivedAtMs) / 2)
+        return endsAtMs - neededMs
     }
 
     private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
@@ -170,7 +172,7 @@
             is SendResult.NotRun -> false
         }
         if (wasRun) state.runs++
-        if (wasRun && !mayRepeat(call)) return false
+        if (wasRun && !call.route.kind.mayRunAgain) return false
         if (wasRun && state.runs >= call.route.maxAttempts) return false
         if (state.sends >= MAX_SENDS) return false
         val isAllowed = budget.tryRepeat(call.service, clock.nowMs())
@@ -178,16 +180,10 @@
         return isAllowed
     }
 
-    private fun mayRepeat(call: Call): Boolean = when (val kind = call.route.kind) {
-        is RouteKind.Idempotent -> true
-        is RouteKind.NonIdempotent -> false
-        is RouteKind.Streaming -> kind.isResumable
-    }
-
     private fun patience(state: State, predictedMs: Long): TargetClient.Patience {
         val call = state.call
         val leftMs = (call.endsAtMs - clock.nowMs()).coerceAtLeast(1)
-        val isLastRun = !mayRepeat(call) || state.runs + 1 >= call.route.maxAttempts
+        val isLastRun = !call.route.kind.mayRunAgain || state.runs + 1 >= call.route.maxAttempts
         if (isLastRun) return TargetClient.Patience(leftMs, leftMs)
         val pauseMs = when (val kind = call.route.kind) {
             is RouteKind.Streaming -> kind.maxPauseMs * SILENT_PAUSES
@@ -269,9 +265,11 @@
         private const val MIN_SILENCE_MS = 350L
 
         /** The headers of a refusal that promises that the request did not run. */
-        fun refusalHeaders(requestId: String?, retryAfterMs: Long): List<Header> = listOfNotNull(
+        fun refusalHeaders(requestId: String?, retryAfterMs: Long?): List<Header> = listOfNotNull(
             requestId?.let { Header(WireNames.REQUEST_ID, it) },
-            Header(WireNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, retryAfterMs / 1e3))
+            retryAfterMs?.let {
+                Header(WireNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, it / 1e3))
+            }
         )
     }
 }
