Never let an answer of the store end its follower; convert unpromised refusals of targets

A coroutine that failed ended silently (seen once in WholePathTest: an uncaught exception on a worker, not seen in 2 repeats): failures are logged, and the followers go on. A target's 503 without the header that promises that nothing ran is answered 502 (WholePathTest, new).

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -3,6 +3,7 @@
 import io.ktor.network.selector.SelectorManager
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -53,7 +54,10 @@
     private val clock = MonotonicClock.System
     private val log = DecisionLog(clock)
     private val metrics = EdgeMetrics()
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val failures = CoroutineExceptionHandler { _, cause ->
+        log.failure("coroutine failed", cause, "at" to cause.stackTrace.firstOrNull()?.toString())
+    }
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + failures)
     private val selector = SelectorManager(Dispatchers.IO)
     private val control = ControlLoop(clock)
     private val board = Blackboard()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.belief
 
 import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -40,17 +41,29 @@
 
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
-            when (val result = store.list(kind)) {
-                is StoreResult.Done -> {
-                    onAnswer()
-                    observer.onListing(result.value)
-                    watchFrom(result.value.revision)
-                }
-
-                is StoreResult.Unavailable -> onFailure(result.detail)
+            try {
+                listAndWatch()
+            } catch (cause: CancellationException) {
+                throw cause
+            } catch (cause: RuntimeException) {
+                // Whatever an answer holds, the process must not stop to follow the store.
+                log.failure("store answer unusable", cause, "kind" to kind)
+                onFailure(cause.toString())
+            }
+        }
+    }
 
-                StoreResult.Compacted, StoreResult.Conflict -> onFailure("unexpected status")
+    private suspend fun listAndWatch() {
+        when (val result = store.list(kind)) {
+            is StoreResult.Done -> {
+                onAnswer()
+                observer.onListing(result.value)
+                watchFrom(result.value.revision)
             }
+
+            is StoreResult.Unavailable -> onFailure(result.detail)
+
+            StoreResult.Compacted, StoreResult.Conflict -> onFailure("unexpected status")
         }
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -134,6 +134,8 @@
         val body = answer.body.readAll(MAX_ANSWER_BYTES)
         val isForeign = answer.status in 200..299 && answer.headers[WireNames.SIGNATURE] == null
         if (isForeign) throw IOException("success without signature")
+        // Passed on, such a status would promise that the request did not run.
+        if (answer.status in refusals) throw IOException("refusal without promise")
         val isFailure = answer.status >= SERVER_FAILURE
         return Sent(
             SendResult.Answer(answer.status, answer.headers.endToEnd(), body),
@@ -147,6 +149,7 @@
 
     private companion object {
         const val MISDIRECTED = 421
+        val refusals = setOf(408, 429, 503)
         const val CLIENT_FAILURE = 400
         const val SERVER_FAILURE = 500
         const val MAX_STRAY_ANSWERS = 3
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -107,6 +107,16 @@
         assertThat(reply.headers["Retry-After"]!!.toDouble()).isPositive()
     }
 
+    @Example
+    fun targetsRefusalWithoutItsPromiseIsNotPassedOnAsOne() {
+        world.target("t1") { _, connection ->
+            connection.send(503, emptyList(), ByteArray(0))
+            true
+        }
+        startWithManifest()
+        assertThat(world.ask("/unsafe/").status).isEqualTo(502)
+    }
+
     @Example
     fun lateAnswerToAnotherRequestIsPassedOver() {
         world.target("t1") { request, connection ->
