Spread many hosts over targets, and call the store and wake up less

Now a host among more than 16 chooses from 4 targets by chance and keeps to its share of scarce places; 0.4 s between answered watches; waits between failed calls double; fewer rehearsed requests and timer wake-ups. Tests: two load patterns of 64 hosts in FleetSchedulerTest.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/ControlLoop.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/ControlLoop.kt
@@ -51,6 +51,6 @@
     }
 
     private companion object {
-        const val MAX_SLEEP_MS = 25L
+        const val MAX_SLEEP_MS = 100L
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -277,11 +277,11 @@
         const val MAX_ASKED = 3
 
         /** Enough that the classes and the first compilations of the whole path are there. */
-        const val REHEARSED_REQUESTS = 60
+        const val REHEARSED_REQUESTS = 24
         const val REHEARSAL_LIMIT_MS = 1_500L
-        const val EXPIRE_MS = 100L
-        const val DECIDE_MS = 20L
-        const val EVICT_MS = 500L
+        const val EXPIRE_MS = 200L
+        const val DECIDE_MS = 50L
+        const val EVICT_MS = 1_000L
 
         /** The balancer asks once a second and takes a host out after two misses. */
         const val BALANCER_MS = 3_000L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
@@ -28,6 +28,7 @@
     private val observer: Observer
 ) {
     private var failingSinceMs: Long? = null
+    private var failuresInRow = 0
 
     /** Takes what the follower finds. */
     interface Observer {
@@ -77,6 +78,8 @@
                     failures = 0
                     observer.onChanges(result.value)
                     revision = result.value.revision
+                    // Changes come in series, and each answered watch is a call of every host.
+                    if (!result.value.isEmpty) delay(SERIES_MS)
                 }
 
                 is StoreResult.Unavailable -> {
@@ -93,6 +96,7 @@
     }
 
     private suspend fun onAnswer() {
+        failuresInRow = 0
         val sinceMs = failingSinceMs ?: return
         failingSinceMs = null
         val lastedMs = clock.nowMs() - sinceMs
@@ -111,13 +115,21 @@
                 "detail" to detail
             )
         }
-        delay(RETRY_MS + Random.nextLong(RETRY_MS))
+        val waitMs = (RETRY_MS shl failuresInRow.coerceAtMost(MAX_DOUBLINGS))
+        failuresInRow++
+        delay(waitMs + Random.nextLong(waitMs))
     }
 
     private companion object {
         /** Short of the bounds on drains and manifests, so that a silent watch breaks neither. */
-        const val WATCH_MS = 2_500L
+        const val WATCH_MS = 3_000L
+
+        /** Well under the bounds on drains and manifests, 2 s. */
+        const val SERIES_MS = 400L
         const val RETRY_MS = 150L
+
+        /** Waits end under 1.2 s, as the bounds run again 3 s after an outage. */
+        const val MAX_DOUBLINGS = 2
         const val FAILURES_TO_RELIST = 2
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -262,6 +262,7 @@
             }
         )
         scheduler.updatePeerSuspects(message.suspects.toSet())
+        scheduler.hostCount = hostCount
         scheduler.decide(nowMs)
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -16,6 +16,12 @@
     private val engine = EngineModel()
     private val startRates = HashMap<String, StartRate>()
 
+    /**
+     * The hosts that send to the same targets, this one included. The more there are, the older is
+     * what each knows of the others, and the more would choose the same target.
+     */
+    public var hostCount: Int = 1
+
     /** The requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -155,12 +161,33 @@
     }
 
     private fun choose(ticket: FleetTicket, nowMs: Long): TargetLoad? {
-        val candidates = usable(ticket.service, nowMs).filter { it.count < it.spec.slots }
+        val all = usable(ticket.service, nowMs)
+        if (isOverOwnShare(all)) return null
+        val candidates = all.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val sound = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
-        return sound.minByOrNull { score(it, ticket) }
+        return sampled(sound).minByOrNull { score(it, ticket) }
+    }
+
+    /**
+     * Whether this host has more than its share of the places under way while few are left. Many
+     * hosts that see the same last place would all take it.
+     */
+    private fun isOverOwnShare(all: List<TargetLoad>): Boolean {
+        if (hostCount <= FEW_HOSTS) return false
+        val places = all.sumOf { it.spec.slots }
+        val isScarce = all.sumOf { minOf(it.count, it.spec.slots) } > places * SCARCE_SHARE
+        return isScarce && all.sumOf { it.ownCount } > places * SHARE_MARGIN / hostCount + 1
     }
 
+    /** Among many hosts, a few targets by chance: the best of them is rarely everybody's. */
+    private fun sampled(candidates: List<TargetLoad>): List<TargetLoad> =
+        if (hostCount <= FEW_HOSTS || candidates.size <= SAMPLE_SIZE) {
+            candidates
+        } else {
+            candidates.shuffled(random).take(SAMPLE_SIZE)
+        }
+
     private fun firstEventMs(load: TargetLoad, ticket: FleetTicket): Long =
         if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens).toLong() else 0
 
@@ -236,6 +263,12 @@
 
         /** Refuses only what is clearly beyond reach, as the rate of a second is no certainty. */
         const val REACH_MARGIN = 1.3
+
+        /** Up to so many hosts, news of the others are fresh enough to take the best target. */
+        const val FEW_HOSTS = 16
+        const val SAMPLE_SIZE = 4
+        const val SCARCE_SHARE = 0.8
+        const val SHARE_MARGIN = 1.2
         const val OTHER_ZONE_MS = 2.0
         const val TIE_SHARE = 0.1
         const val OUTPUT_WEIGHT = 0.2
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -67,6 +67,37 @@
         assertThat(sent[sequence]).isInstanceOf(FleetDecision.Send::class.java)
     }
 
+    /** The load pattern: 64 hosts with the same old news of 40 targets with one place left each. */
+    @Example
+    fun hostsWithEqualNewsSpreadOverTheTargets() {
+        val chosen = HashMap<String, Int>()
+        repeat(64) { host ->
+            val subject = FleetScheduler("zone-a", Random(host)).apply { hostCount = 64 }
+            subject.updateTargets((1..40).map { target("t$it", slots = 10) })
+            subject.updatePeerLoads(
+                (1..40).associate {
+                    "t$it" to
+                        FleetScheduler.PeerLoad(5, it * 9L)
+                }
+            )
+            subject.enroll(ticket(1, 0, 10_000), 0) {
+                if (it is FleetDecision.Send) chosen.merge(it.targetId, 1, Int::plus)
+            }
+        }
+        assertThat(chosen.values.sum()).isEqualTo(64)
+        assertThat(chosen.values.max()).isLessThanOrEqualTo(9)
+    }
+
+    /** The load pattern: an overload that 64 hosts see alike. */
+    @Example
+    fun hostKeepsToItsShareOfScarcePlaces() {
+        scheduler.hostCount = 64
+        scheduler.updateTargets((1..40).map { target("t$it", slots = 10) })
+        scheduler.updatePeerLoads((1..40).associate { "t$it" to FleetScheduler.PeerLoad(9, 0) })
+        (1L..30L).forEach { enroll(it) }
+        assertThat(sent).hasSizeBetween(7, 9)
+    }
+
     /** The load pattern: a burst of ten times what the targets take. */
     @Example
     fun tailOfAQueueThatCannotBeReachedIsRefusedAtOnceLeastUrgentFirst() {
