Leave a silent target only if the request may be sent again

Ruled out: the four streams that ended at their routes' time. The budget is now asked first; without it the target is heard to the end. Test: WholePathTest, a pause of 1.6 s without budget.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -62,6 +62,9 @@
         var refusal: FleetDecision.Refuse? = null
         var last: SendResult? = null
         var isInFlight = false
+
+        /** Whether the budget has granted one more send already. */
+        var hasRepeat = false
     }
 
     private suspend fun attempts(state: State) {
@@ -175,26 +178,26 @@
         if (wasRun && !call.route.kind.mayRunAgain) return false
         if (wasRun && state.runs >= call.route.maxAttempts) return false
         if (state.sends >= MAX_SENDS) return false
-        val isAllowed = budget.tryRepeat(call.service, clock.nowMs())
+        val isAllowed = state.hasRepeat || budget.tryRepeat(call.service, clock.nowMs())
+        state.hasRepeat = false
         if (!isAllowed) log.request("repeat budget spent", call.requestId, "sends" to state.sends)
         return isAllowed
     }
 
-    private fun patience(state: State, predictedMs: Long): TargetClient.Patience {
+    private fun patience(state: State, predictedMs: Long): Patience {
         val call = state.call
-        val leftMs = (call.endsAtMs - clock.nowMs()).coerceAtLeast(1)
         val isLastRun = !call.route.kind.mayRunAgain || state.runs + 1 >= call.route.maxAttempts
-        if (isLastRun) return TargetClient.Patience(leftMs, leftMs)
-        val pauseMs = when (val kind = call.route.kind) {
-            is RouteKind.Streaming -> kind.maxPauseMs * SILENT_PAUSES
-            else -> leftMs
-        }
+        if (isLastRun || state.sends >= MAX_SENDS) return Patience.ToTheEnd
+        val pauseMs = (call.route.kind as? RouteKind.Streaming)?.maxPauseMs ?: 0
         val firstMs = maxOf(
             call.route.targetLatencyMs * SILENT_LATENCIES,
             predictedMs * SILENT_PREDICTIONS,
             MIN_SILENCE_MS
         )
-        return TargetClient.Patience(minOf(firstMs, leftMs), minOf(pauseMs, leftMs))
+        return Patience.Limited(firstMs, maxOf(pauseMs * SILENT_PAUSES, MIN_SILENCE_MS)) {
+            state.hasRepeat = budget.tryRepeat(call.service, clock.nowMs())
+            state.hasRepeat
+        }
     }
 
     private suspend fun finish(state: State): Ended {
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Patience.kt
@@ -0,0 +1,37 @@
+package org.bronzetide.edge.flow
+
+import java.io.IOException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Says when a silent target is left for another one. */
+internal sealed class Patience {
+    /** Waits for [block] as long as this allows. */
+    suspend fun <T> await(isFirst: Boolean, block: suspend () -> T): T = when (this) {
+        is ToTheEnd -> block()
+        is Limited -> awaitLimited(if (isFirst) firstEventMs else pauseMs, block)
+    }
+
+    /** The target is waited for until the request's own time is over. */
+    data object ToTheEnd : Patience()
+
+    /**
+     * After the limits, in milliseconds, the target is left, but only if [mayLeave] grants that the
+     * request is sent again: a late answer is worth more than none.
+     */
+    class Limited(val firstEventMs: Long, val pauseMs: Long, val mayLeave: () -> Boolean) :
+        Patience()
+
+    private suspend fun <T> Limited.awaitLimited(limitMs: Long, block: suspend () -> T): T =
+        coroutineScope {
+            val work = async { block() }
+            while (withTimeoutOrNull(limitMs) { work.join() } == null) {
+                if (mayLeave()) throw SilentTargetException()
+            }
+            work.await()
+        }
+}
+
+/** A target sent nothing for so long that the request is sent to another one. */
+internal class SilentTargetException : IOException("silent target")
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
@@ -1,7 +1,6 @@
 package org.bronzetide.edge.flow
 
 import java.io.IOException
-import kotlinx.coroutines.withTimeout
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.IncomingAnswer
@@ -42,14 +41,13 @@
      *
      * @throws IOException if the target or the caller breaks off.
      */
-    suspend fun pass(answer: IncomingAnswer, patience: TargetClient.Patience): Double {
+    suspend fun pass(answer: IncomingAnswer, patience: Patience): Double {
         val splitter = EventSplitter()
         var firstAtMs = 0L
         var lastAtMs = 0L
         var ownCount = 0
         while (true) {
-            val waitMs = if (ownCount == 0) patience.firstEventMs else patience.pauseMs
-            val piece = withTimeout(waitMs) { answer.body.readPiece() } ?: break
+            val piece = patience.await(isFirst = ownCount == 0) { answer.body.readPiece() } ?: break
             val events = splitter.feed(piece).filterNot(::isRepeated)
             if (events.isEmpty()) continue
             lastAtMs = clock.nowMs()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/TargetClient.kt
@@ -1,8 +1,6 @@
 package org.bronzetide.edge.flow
 
 import java.io.IOException
-import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.withTimeout
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
@@ -29,7 +27,7 @@
         call: Call,
         target: TargetEntry,
         relay: StreamRelay,
-        patienceMs: Patience
+        patience: Patience
     ): Sent {
         val connection = try {
             connect(call, target)
@@ -44,16 +42,15 @@
         var isKept = false
         try {
             connection.send(outgoing(call, target, relay))
-            val answer = receiveOwn(call, connection, patienceMs)
-            val sent = read(call, answer, relay, patienceMs)
+            val answer = receiveOwn(call, connection, patience)
+            val sent = read(call, answer, relay, patience)
             if (answer.body.isComplete && !isEarlyAnswer(call, answer)) {
                 pool.release(target.address.host, target.address.port, connection, answer)
                 isKept = true
             }
             return sent
-        } catch (cause: TimeoutCancellationException) {
-            // The caller's own time ends in a cancellation of the whole call, not in this one.
-            return Sent(SendResult.MayHaveRun("silent target"), FleetOutcome.FAILED)
+        } catch (cause: SilentTargetException) {
+            return Sent(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
         } catch (cause: IOException) {
             pool.evict(target.address.host, target.address.port)
             return Sent(SendResult.MayHaveRun("broke off: ${cause.message}"), FleetOutcome.FAILED)
@@ -62,9 +59,6 @@
         }
     }
 
-    /** How long a silent target is waited for, in milliseconds. */
-    class Patience(val firstEventMs: Long, val pauseMs: Long)
-
     private suspend fun connect(call: Call, target: TargetEntry): HttpConnection {
         val address = target.address
         // An idle connection may be gone unnoticed, and what was sent on it cannot be sent again.
@@ -94,13 +88,11 @@
         call: Call,
         connection: HttpConnection,
         patience: Patience
-    ): IncomingAnswer = withTimeout(patience.firstEventMs) {
+    ): IncomingAnswer {
         repeat(MAX_STRAY_ANSWERS) {
-            val answer = connection.receive()
+            val answer = patience.await(isFirst = true) { connection.receive() }
             val id = answer.headers[WireNames.REQUEST_ID]
-            if (id == null || call.requestId == null || id == call.requestId) {
-                return@withTimeout answer
-            }
+            if (id == null || call.requestId == null || id == call.requestId) return answer
             answer.body.readAll(MAX_ANSWER_BYTES)
         }
         throw IOException("answers to other requests")
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -224,6 +224,25 @@
         assertThat(world.arrivals).hasSize(2)
     }
 
+    /** The budget for repeats is spent: a sound target that pauses long is still heard to the end. */
+    @Example
+    fun pausingStreamIsHeardToItsEndWhenItCannotBeSentAgain() {
+        EdgeWorld("bounds.retry_slack=0\nbounds.retry_budget_ratio=0").use { poor ->
+            poor.target("t1", "model") { request, connection ->
+                startStream(request, connection)
+                sendEvents(connection, 1..2)
+                delay(1_600)
+                sendEvents(connection, 3..4)
+                connection.finish()
+                true
+            }
+            poor.writeManifest()
+            poor.start()
+            assertThat(poor.ask("/stream/").body).isEqualTo((1..4).joinToString("") { event(it) })
+            assertThat(poor.arrivals).hasSize(1)
+        }
+    }
+
     @Example
     fun requestIsAnsweredAtItsRoutesTimeLimit() {
         world.target("t1") { _, _ ->
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
@@ -19,11 +19,11 @@
 import org.bronzetide.platform.fleet.HostSettings
 
 /** One edge node before stand-ins of the store and of targets, all on loopback. */
-class EdgeWorld : AutoCloseable {
+class EdgeWorld(bounds: String = "bounds.retry_slack=56") : AutoCloseable {
     val store = StoreStandIn()
     val selector = SelectorManager(Dispatchers.IO)
     val pool = ConnectionPool(selector, MonotonicClock.System)
-    val settings = settings(store.port)
+    val settings = settings(store.port, bounds = bounds)
     val node = EdgeNode(settings)
     private val servers = ArrayList<AutoCloseable>()
 
@@ -131,7 +131,11 @@
 
         private fun freeUdpPort(): Int = DatagramSocket(0).use { it.localPort }
 
-        fun settings(storePort: Int, name: String = "edge-1"): HostSettings {
+        fun settings(
+            storePort: Int,
+            name: String = "edge-1",
+            bounds: String = "bounds.retry_slack=56"
+        ): HostSettings {
             val udp = freeUdpPort()
             val ports = List(3) { freePort() }
             return HostSettings.parse(
@@ -146,9 +150,8 @@
                 seeds=
                 limits.cpu_share=1
                 limits.memory_mb=200
-                bounds.retry_slack=56
                 platform.address=127.0.0.1:$storePort
-                """.trimIndent()
+                """.trimIndent() + "\n" + bounds
             )
         }
 
