--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -224,7 +224,7 @@
         assertThat(world.arrivals).hasSize(2)
     }
 
-    /** The budget for repeats is spent: a sound target that pauses long is still heard to the end. */
+    /** No budget for repeats: a sound target that pauses long is heard to the end. */
     @Example
     fun pausingStreamIsHeardToItsEndWhenItCannotBeSentAgain() {
         EdgeWorld("bounds.retry_slack=0\nbounds.retry_budget_ratio=0").use { poor ->
