--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -61,6 +61,7 @@
     private var currentHub: NodeId? = null
     private var hubHeardAtMs = clock.nowMs()
     private var isInformed = false
+    private var informedAtMs = clock.nowMs()
     private var seeds = settings.seeds
 
     /** The hosts that are not known to be dead, this one included. */
@@ -204,8 +205,6 @@
         }
     }
 
-    private var informedAtMs = clock.nowMs()
-
     private fun chooseHub(nowMs: Long): NodeId? {
         silentUntilMs.values.removeIf { it <= nowMs }
         val usable = membership.eligible().filter { it.id !in silentUntilMs }
@@ -222,8 +221,8 @@
         val summary = hub.summaryFor(host)
         val message = PeerMessage.Summary(
             self.value,
-            summary.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
-            summary.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
+            summary.loads.toMessages(),
+            quotaMessages(summary.quotaTotals),
             summary.hostCount,
             summary.suspects.toList()
         )
@@ -234,9 +233,7 @@
     private fun onReport(message: PeerMessage.Report) {
         val report = LoadReport(
             message.host,
-            message.loads.associate {
-                it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
-            },
+            message.loads.toLoads(),
             message.quotas.associate { it.account to it.units },
             message.suspects.toSet()
         )
@@ -256,11 +253,7 @@
         // Hosts that the hub has not heard of may give out their share by themselves.
         quotas.share = message.hostCount.toDouble() / hostCount.coerceAtLeast(message.hostCount)
         quotas.onPeerTotals(message.hub, message.quotas.associate { it.account to it.units })
-        scheduler.updatePeerLoads(
-            message.loads.associate {
-                it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens)
-            }
-        )
+        scheduler.updatePeerLoads(message.loads.toLoads())
         scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.hostCount = hostCount
         scheduler.decide(nowMs)
@@ -268,11 +261,20 @@
 
     private fun encode(report: LoadReport) = PeerMessage.Report(
         report.host,
-        report.loads.map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) },
-        report.quotaTotals.map { PeerMessage.QuotaTotal(it.key, it.value) },
+        report.loads.toMessages(),
+        quotaMessages(report.quotaTotals),
         report.suspects.toList()
     )
 
+    private fun Map<String, FleetScheduler.PeerLoad>.toMessages() =
+        map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) }
+
+    private fun List<PeerMessage.Load>.toLoads() =
+        associate { it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens) }
+
+    private fun quotaMessages(totals: Map<String, Long>) =
+        totals.map { PeerMessage.QuotaTotal(it.key, it.value) }
+
     private fun addressOf(ip: String) = SocketAddress(ip, settings.peerPorts.first)
 
     private companion object {
