Read and write sockets in one thread for traffic, without Ktor's socket coroutines

Cause: Ktor's sockets run a reader and a writer coroutine of each connection on a shared pool, beside a selector thread: an event of a stream passed through four threads. The control thread also woke for two timers that mostly had nothing to do. Ruled out: other dispatchers for Ktor's sockets, which name theirs themselves.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -1,14 +1,13 @@
 package org.bronzetide.edge
 
 import ch.qos.logback.classic.LoggerContext
-import io.ktor.network.selector.SelectorManager
 import java.io.File
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
+import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SettingsException
 import org.slf4j.LoggerFactory
@@ -53,8 +52,8 @@
     readSettings()?.let(node::reload)
 }
 
-private fun rehearse() = runBlocking {
-    SelectorManager(Dispatchers.IO).use { Rehearsal(it).run(BUILD_REQUESTS, BUILD_LIMIT_MS) }
+private fun rehearse() = TrafficLoop().use { traffic ->
+    runBlocking(traffic) { Rehearsal(traffic).run(BUILD_REQUESTS, BUILD_LIMIT_MS) }
 }
 
 private fun readSettings(): HostSettings? {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -1,11 +1,9 @@
 package org.bronzetide.edge
 
-import io.ktor.network.selector.SelectorManager
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -35,6 +33,7 @@
 import org.bronzetide.edge.telemetry.StatusPage
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.ConnectionPool
+import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.CallerLimits
 import org.bronzetide.platform.fleet.FleetKinds
 import org.bronzetide.platform.fleet.FleetStore
@@ -57,11 +56,11 @@
     private val failures = CoroutineExceptionHandler { _, cause ->
         log.failure("coroutine failed", cause, "at" to cause.stackTrace.firstOrNull()?.toString())
     }
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + failures)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val traffic = TrafficLoop()
+    private val scope = CoroutineScope(SupervisorJob() + traffic + failures)
     private val control = ControlLoop(clock)
     private val board = Blackboard()
-    private val pool = ConnectionPool(selector, clock)
+    private val pool = ConnectionPool(traffic, clock)
     private val store = FleetStore(pool, settings.store)
     private val scheduler = FleetScheduler(settings.availabilityZone, Random.Default)
     private val manifests = ManifestKeeper(board, control, log)
@@ -112,15 +111,15 @@
         log,
         metrics
     )
-    private val callers = CallerServer(selector, settings.callers, log) {
+    private val callers = CallerServer(traffic, settings.callers, log) {
         CallerSession(CallerConnection(it), services).run()
     }
-    private val readiness = CallerServer(selector, settings.readiness, log) {
+    private val readiness = CallerServer(traffic, settings.readiness, log) {
         ControlServer(
             mapOf(HostSettings.READINESS_PATH to ::readinessAnswer)
         ).serve(CallerConnection(it))
     }
-    private val operators = CallerServer(selector, settings.control, log) {
+    private val operators = CallerServer(traffic, settings.control, log) {
         ControlServer(operatorAnswers).serve(CallerConnection(it))
     }
 
@@ -145,8 +144,6 @@
         board.subscribe(Beliefs.manifest) { updateTargets() }
         control.post {
             fleet.start()
-            control.timers.every(EXPIRE_MS) { targets.expire() }
-            control.timers.every(DECIDE_MS) { scheduler.decide(clock.nowMs()) }
             control.timers.every(EVICT_MS) {
                 pool.evictStale()
                 status = statusPage()
@@ -159,7 +156,7 @@
         scope.launch { follow(FleetKinds.TARGETS, targets) }
         scope.launch { learnFromPeers() }
         scope.launch {
-            Rehearsal(selector).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
+            Rehearsal(traffic).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
             isRehearsed = true
         }
         peers.start()
@@ -200,7 +197,7 @@
         scope.cancel()
         pool.close()
         control.close()
-        selector.close()
+        traffic.close()
     }
 
     private fun manifest(): Manifest? = board[Beliefs.manifest].firstOrNull()
@@ -279,8 +276,6 @@
         /** Enough that the classes and the first compilations of the whole path are there. */
         const val REHEARSED_REQUESTS = 24
         const val REHEARSAL_LIMIT_MS = 1_500L
-        const val EXPIRE_MS = 200L
-        const val DECIDE_MS = 50L
         const val EVICT_MS = 1_000L
 
         /** The balancer asks once a second and takes a host out after two misses. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Rehearsal.kt
@@ -1,10 +1,5 @@
 package org.bronzetide.edge
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.port
 import java.io.IOException
 import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
@@ -26,6 +21,8 @@
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
 import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.http.TcpServer
+import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.CallerLimits
 import org.bronzetide.platform.fleet.Manifest
@@ -45,7 +42,7 @@
  * these do not wait for classes to load. Caller, target and manifest are made up, on loopback; no
  * state is shared with the serving parts.
  */
-internal class Rehearsal(private val selector: SelectorManager) {
+internal class Rehearsal(private val loop: TrafficLoop) {
     private val clock = MonotonicClock.System
     private val log = DecisionLog(clock, isQuiet = true)
     private val metrics = EdgeMetrics()
@@ -54,7 +51,7 @@
     suspend fun run(requestCount: Int, limitMs: Long) {
         val target = listen()
         val entry = listen()
-        ConnectionPool(selector, clock).use { pool ->
+        ConnectionPool(loop, clock).use { pool ->
             ControlLoop(clock).use { control ->
                 try {
                     withTimeoutOrNull(limitMs) {
@@ -73,8 +70,8 @@
 
     private suspend fun rehearse(
         requestCount: Int,
-        target: ServerSocket,
-        entry: ServerSocket,
+        target: TcpServer,
+        entry: TcpServer,
         pool: ConnectionPool,
         control: ControlLoop
     ) = coroutineScope {
@@ -123,7 +120,7 @@
     }
 
     private fun CoroutineScope.launchServer(
-        server: ServerSocket,
+        server: TcpServer,
         serve: suspend (CallerConnection) -> Unit
     ) = launch {
         while (true) {
@@ -176,8 +173,7 @@
         pool.release(LOOPBACK, port, connection, answer)
     }
 
-    private suspend fun listen(): ServerSocket =
-        aSocket(selector).tcp().bind(InetSocketAddress(LOOPBACK, 0))
+    private fun listen() = TcpServer(LOOPBACK, 0, loop)
 
     private object NoQuotas : Gate.Quotas {
         override suspend fun take(account: Account, units: Long): Long? = null
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/TargetKeeper.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/TargetKeeper.kt
@@ -60,7 +60,7 @@
         storeBackAtMs = clock.nowMs()
     }
 
-    /** Drops the entries that did not come back; called every few hundred milliseconds. */
+    /** Drops the entries that did not come back in time. */
     fun expire() {
         val nowMs = clock.nowMs()
         val gone = removedAtMs.filterValues { nowMs >= it }.keys.toList()
@@ -103,7 +103,8 @@
         val afterOutageMs = storeBackAtMs
             ?.takeIf { !known.isLeaving && nowMs - it < OUTAGE_GRACE_MS }
             ?.plus(OUTAGE_GRACE_MS)
-        removedAtMs.putIfAbsent(name, maxOf(nowMs + graceMs, afterOutageMs ?: 0))
+        val dueMs = removedAtMs.getOrPut(name) { maxOf(nowMs + graceMs, afterOutageMs ?: 0) }
+        control.timers.after(dueMs - nowMs) { expire() }
         log.belief("target entry removed", "target" to name, "usedForMs" to graceMs)
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerServer.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerServer.kt
@@ -1,34 +1,29 @@
 package org.bronzetide.edge.entry
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.http.TcpServer
+import org.bronzetide.http.TcpSocket
+import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.SocketAddress
 
 /** Accepts connections at [address] and serves each in a coroutine of its own. */
 internal class CallerServer(
-    private val selector: SelectorManager,
+    private val loop: TrafficLoop,
     private val address: SocketAddress,
     private val log: DecisionLog,
-    private val serve: suspend (Socket) -> Unit
+    private val serve: suspend (TcpSocket) -> Unit
 ) : AutoCloseable {
-    private var server: ServerSocket? = null
+    private var server: TcpServer? = null
 
     @Volatile
     private var isOpen = true
 
-    suspend fun start(scope: CoroutineScope) {
-        val bound = aSocket(selector).tcp().bind(InetSocketAddress(address.host, address.port)) {
-            backlogSize = BACKLOG
-            reuseAddress = true
-        }
+    fun start(scope: CoroutineScope) {
+        val bound = TcpServer(address.host, address.port, loop)
         server = bound
         scope.launch {
             while (isOpen) {
@@ -50,7 +45,7 @@
         server?.close()
     }
 
-    private suspend fun serveQuietly(socket: Socket) {
+    private suspend fun serveQuietly(socket: TcpSocket) {
         try {
             serve(socket)
         } catch (cause: CancellationException) {
@@ -65,7 +60,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 512
         const val ACCEPT_PAUSE_MS = 20L
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.edge.soak
 
-import io.ktor.network.selector.SelectorManager
 import java.io.File
 import java.io.IOException
 import java.net.DatagramSocket
@@ -23,6 +22,7 @@
 import org.bronzetide.http.Header
 import org.bronzetide.http.HttpConnection
 import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.http.TrafficLoop
 
 /**
  * A randomized soak: real processes before stand-ins, callers that keep their connections, and
@@ -41,8 +41,8 @@
         DatagramSocket(0).use { it.localPort },
         storeProxy.port
     )
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val pool = ConnectionPool(selector, MonotonicClock.System)
+    private val loop = TrafficLoop()
+    private val pool = ConnectionPool(loop, MonotonicClock.System)
     private val ids = AtomicLong()
     private var manifestVersion = 1
     val checker = SoakChecker()
@@ -83,7 +83,7 @@
         storeProxy.close()
         store.close()
         pool.close()
-        selector.close()
+        loop.close()
     }
 
     private suspend fun isServing(): Boolean = nodes.all { isServing(it) }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
@@ -1,10 +1,8 @@
 package org.bronzetide.edge.standin
 
-import io.ktor.network.selector.SelectorManager
 import java.net.DatagramSocket
 import java.net.ServerSocket
 import java.util.concurrent.ConcurrentLinkedQueue
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -16,13 +14,14 @@
 import org.bronzetide.http.HttpConnection
 import org.bronzetide.http.IncomingRequest
 import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
 
 /** One edge node before stand-ins of the store and of targets, all on loopback. */
 class EdgeWorld(bounds: String = "bounds.retry_slack=56") : AutoCloseable {
     val store = StoreStandIn()
-    val selector = SelectorManager(Dispatchers.IO)
-    val pool = ConnectionPool(selector, MonotonicClock.System)
+    val loop = TrafficLoop()
+    val pool = ConnectionPool(loop, MonotonicClock.System)
     val settings = settings(store.port, bounds = bounds)
     val node = EdgeNode(settings)
     private val servers = ArrayList<AutoCloseable>()
@@ -102,7 +101,7 @@
         servers.forEach { it.close() }
         store.close()
         pool.close()
-        selector.close()
+        loop.close()
     }
 
     class Reply(val status: Int, val headers: Map<String, String>, val body: String)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StandInServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StandInServer.kt
@@ -1,29 +1,23 @@
 package org.bronzetide.edge.standin
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.port
 import java.io.IOException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.IncomingRequest
+import org.bronzetide.http.TcpServer
+import org.bronzetide.http.TrafficLoop
 
 /** An HTTP server on loopback whose answers [handle] gives; it returns whether to go on. */
 open class StandInServer(
     private val handle: suspend (IncomingRequest, ByteArray, CallerConnection) -> Boolean
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val server: ServerSocket = runBlocking {
-        aSocket(selector).tcp().bind(InetSocketAddress("127.0.0.1", 0))
-    }
+    private val loop = TrafficLoop()
+    private val server = TcpServer("127.0.0.1", 0, loop)
 
     val port: Int = server.port
 
@@ -39,7 +33,7 @@
     override fun close() {
         scope.cancel()
         server.close()
-        selector.close()
+        loop.close()
     }
 
     private suspend fun serve(connection: CallerConnection) {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -3,9 +3,6 @@
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseRequest
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.exhausted
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
@@ -26,9 +23,9 @@
 }
 
 /** A server's side of one connection, which carries one request at a time. */
-public class CallerConnection(private val socket: Socket) : AutoCloseable {
-    private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel(autoFlush = false)
+public class CallerConnection(private val socket: TcpSocket) : AutoCloseable {
+    private val input = socket.input
+    private val output = socket.output
 
     /** Waits until a byte of a request is there; `false` if the caller ended the connection. */
     public suspend fun awaitRequest(): Boolean = !input.exhausted()
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
@@ -1,9 +1,7 @@
 package org.bronzetide.http
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.aSocket
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.withTimeoutOrNull
@@ -16,7 +14,7 @@
  * unasked, is closed instead of being used again.
  */
 public class ConnectionPool(
-    private val selector: SelectorManager,
+    private val loop: TrafficLoop,
     private val clock: MonotonicClock,
     private val policy: Policy = Policy()
 ) : AutoCloseable {
@@ -46,12 +44,20 @@
 
     /** A new connection to [host] and [port]. */
     public suspend fun open(host: String, port: Int): HttpConnection {
-        val connect = withTimeoutOrNull(policy.connectTimeoutMs) {
-            aSocket(selector).tcp().connect(InetSocketAddress(host, port)) { noDelay = true }
+        var socket: TcpSocket? = null
+        var isReturned = false
+        try {
+            withTimeoutOrNull(policy.connectTimeoutMs) {
+                socket = TcpSocket.connect(InetSocketAddress(host, port), loop)
+            }
+            val connected = socket ?: throw ConnectException("no connection to $host:$port in time")
+            opened.incrementAndGet()
+            isReturned = true
+            return HttpConnection(connected, clock.nowMs())
+        } finally {
+            // The caller may have been cancelled just when the connection was there.
+            if (!isReturned) socket?.close()
         }
-        val socket = connect ?: throw ConnectException("no connection to $host:$port in time")
-        opened.incrementAndGet()
-        return HttpConnection(socket, clock.nowMs())
     }
 
     /** Takes back a connection whose last answer, [answer], was read to its end. */
@@ -87,7 +93,7 @@
     public fun evictStale() {
         idle.values.forEach { queue ->
             val stale = synchronized(queue) {
-                queue.filterNot(::isUsable).also { queue.removeAll(it.toSet()) }
+                queue.filter(::isStale).also { queue.removeAll(it.toSet()) }
             }
             stale.forEach { it.close() }
         }
@@ -106,10 +112,13 @@
         }
     }
 
-    private fun isUsable(connection: HttpConnection): Boolean {
+    private fun isUsable(connection: HttpConnection): Boolean =
+        !isStale(connection) && connection.isQuiet
+
+    private fun isStale(connection: HttpConnection): Boolean {
         val stated = connection.keepAliveMs?.let { it - policy.keepAliveMarginMs }
         val maxIdleMs = minOf(stated ?: policy.maxIdleMs, policy.maxIdleMs)
-        return connection.isQuiet && clock.nowMs() - connection.idleSinceMs < maxIdleMs
+        return clock.nowMs() - connection.idleSinceMs >= maxIdleMs
     }
 
     private fun keepAliveMs(headers: HeaderList): Long? =
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -3,14 +3,9 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseResponse
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import java.io.EOFException
-import java.io.IOException
 
 /** A request as it is sent; its body is framed by its length. */
 public class OutgoingRequest(
@@ -30,10 +25,10 @@
 )
 
 /** A client's connection, which carries one request at a time. */
-public class HttpConnection internal constructor(private val socket: Socket, nowMs: Long) :
+public class HttpConnection internal constructor(private val socket: TcpSocket, nowMs: Long) :
     AutoCloseable {
-    private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel(autoFlush = false)
+    private val input = socket.input
+    private val output = socket.output
 
     /** When the last request ended, on the pool's clock. */
     internal var idleSinceMs = nowMs
@@ -46,13 +41,7 @@
         internal set
 
     /** Whether nothing arrived since the last answer and the other end is still there. */
-    internal val isQuiet: Boolean
-        get() = try {
-            !input.isClosedForRead && input.availableForRead == 0
-        } catch (_: IOException) {
-            // The connection was reset since.
-            false
-        }
+    internal val isQuiet: Boolean get() = socket.isQuiet
 
     /** Sends [request]. */
     public suspend fun send(request: OutgoingRequest) {
--- /dev/null
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/Readiness.kt
@@ -0,0 +1,82 @@
+package org.bronzetide.http
+
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
+
+/** Suspends coroutines until a non-blocking channel is ready; one for each kind of readiness. */
+internal class Readiness(channel: SelectableChannel, private val loop: TrafficLoop) {
+    private val reader = AtomicReference<CancellableContinuation<Unit>>()
+    private val writer = AtomicReference<CancellableContinuation<Unit>>()
+    private val key = loop.register(channel, ::onReady)
+
+    @Volatile
+    private var isClosed = false
+
+    suspend fun awaitReadable() = await(reader, SelectionKey.OP_READ)
+
+    suspend fun awaitAcceptable() = await(reader, SelectionKey.OP_ACCEPT)
+
+    suspend fun awaitWritable() = await(writer, SelectionKey.OP_WRITE)
+
+    suspend fun awaitConnected() = await(writer, SelectionKey.OP_CONNECT)
+
+    /** Ends the waiting after the channel was closed. */
+    fun close() {
+        isClosed = true
+        fail(reader)
+        fail(writer)
+        // The system's handle is closed by the loop.
+        loop.wakeUp()
+    }
+
+    private suspend fun await(waiter: AtomicReference<CancellableContinuation<Unit>>, op: Int) =
+        suspendCancellableCoroutine { continuation ->
+            waiter.set(continuation)
+            ask(op)
+            if (isClosed) fail(waiter)
+        }
+
+    private fun ask(op: Int) {
+        if (!key.isValid) return
+        if (key.interestOpsOr(op) and op == 0) loop.wakeUp()
+    }
+
+    private fun onReady(ready: SelectionKey) {
+        if (!ready.isValid) return
+        val ops = ready.readyOps()
+        if (ops and READS != 0) resume(reader, ready, READS)
+        if (ops and WRITES != 0) {
+            // A connection is nearly always writable, so that is asked only while it is waited for.
+            ready.interestOpsAnd(WRITES.inv())
+            writer.getAndSet(null)?.resume(Unit)
+        }
+    }
+
+    /** Goes on asking for [ops] while somebody waits for them. */
+    private fun resume(
+        waiter: AtomicReference<CancellableContinuation<Unit>>,
+        ready: SelectionKey,
+        ops: Int
+    ) {
+        val waiting = waiter.getAndSet(null)
+        if (waiting != null) return waiting.resume(Unit)
+        val asked = ready.interestOpsAnd(ops.inv())
+        // Somebody may have begun to wait in between.
+        if (waiter.get() != null) ready.interestOpsOr(asked and ops)
+    }
+
+    private fun fail(waiter: AtomicReference<CancellableContinuation<Unit>>) {
+        waiter.getAndSet(null)?.resumeWithException(ClosedChannelException())
+    }
+
+    private companion object {
+        const val READS = SelectionKey.OP_READ or SelectionKey.OP_ACCEPT
+        const val WRITES = SelectionKey.OP_WRITE or SelectionKey.OP_CONNECT
+    }
+}
--- /dev/null
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpServer.kt
@@ -0,0 +1,49 @@
+package org.bronzetide.http
+
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.channels.ServerSocketChannel
+
+/** Accepts TCP connections at [host] and [port] on a [TrafficLoop]; port 0 takes any free one. */
+public class TcpServer(
+    host: String,
+    port: Int,
+    private val loop: TrafficLoop,
+    backlog: Int = DEFAULT_BACKLOG
+) : AutoCloseable {
+    private val channel = ServerSocketChannel.open().apply {
+        configureBlocking(false)
+        setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        bind(InetSocketAddress(host, port), backlog)
+    }
+    private val readiness = Readiness(channel, loop)
+
+    /** The port that connections come to. */
+    public val port: Int get() = (channel.localAddress as InetSocketAddress).port
+
+    /**
+     * Waits for the next connection.
+     *
+     * @throws java.io.IOException if none can be taken or the server is closed.
+     */
+    public suspend fun accept(): TcpSocket {
+        while (true) {
+            val accepted = channel.accept()
+            if (accepted != null) {
+                accepted.configureBlocking(false)
+                accepted.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                return TcpSocket(accepted, loop)
+            }
+            readiness.awaitAcceptable()
+        }
+    }
+
+    override fun close() {
+        channel.close()
+        readiness.close()
+    }
+
+    private companion object {
+        const val DEFAULT_BACKLOG = 512
+    }
+}
--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
@@ -1,13 +1,11 @@
 package org.bronzetide.http
 
-import io.ktor.network.selector.SelectorManager
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 import kotlin.concurrent.thread
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
@@ -18,8 +16,8 @@
 /** What a pool makes of connections that the server ended, reset or kept. */
 class ConnectionPoolTest {
     private val clock = ManualClock()
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val pool = ConnectionPool(selector, clock)
+    private val loop = TrafficLoop()
+    private val pool = ConnectionPool(loop, clock)
     private val server = ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))
     private val accepted = LinkedBlockingQueue<Socket>()
 
@@ -31,7 +29,7 @@
     fun close() {
         pool.close()
         server.close()
-        selector.close()
+        loop.close()
     }
 
     @Example
