Refill quotas before news of peers are taken off, and give slack out as a rate while targets have room

A bucket made late also ignored what peers had given out already. Ruled out: lost summaries, the lag of news alone.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -104,7 +104,10 @@
     )
     private val services = CallerSession.Services(
         clock,
-        Gate(::manifest, SharedQuotas(control, clock, quotas, settings.bounds)),
+        Gate(
+            ::manifest,
+            SharedQuotas(control, clock, quotas, settings.bounds) { scheduler.waitingCount > 0 }
+        ),
         exchange,
         { manifest()?.limits ?: CallerLimits() },
         activity,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
@@ -11,18 +11,23 @@
  *
  * Quotas are given out with most of the overage that [bounds] allow, so that what is within an
  * account's quota is not refused; the rest covers what hosts admit before they hear of each other.
+ * The slack beside it is given out only while targets have room: what an account gets beyond its
+ * quota must not keep others waiting.
  */
 internal class SharedQuotas(
     private val control: ControlLoop,
     private val clock: MonotonicClock,
     private val book: QuotaBook,
-    private val bounds: HostSettings.Bounds
+    private val bounds: HostSettings.Bounds,
+    /** Whether requests wait for targets. */
+    private val isCrowded: () -> Boolean
 ) : Gate.Quotas {
     override suspend fun take(account: Account, units: Long): Long? {
         if (account.quotaPerS <= 0) return null
         return control.call {
             val factor = 1 + bounds.quotaOverageRatio * OVERAGE_USED
-            val slack = if (account.countsTokens) bounds.quotaSlackUnits * SLACK_USED else 0.0
+            val hasSlack = account.countsTokens && !isCrowded()
+            val slack = if (hasSlack) bounds.quotaSlackUnits * SLACK_USED else 0.0
             val burst = account.quotaBurst * factor
             book.take(account.name, account.quotaPerS * factor, burst, units, clock.nowMs(), slack)
         }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBook.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBook.kt
@@ -25,23 +25,28 @@
     public var newsAgeMs: Long = 0
 
     /**
-     * Takes [units] of [account]'s quota of [perSecond] and [ownBurst] and returns `null`, or
-     * returns the time in milliseconds after which there may be as many. Up to [slack] units may be
-     * given out beyond, by all hosts.
+     * Takes [units] of [account]'s quota of [ownPerSecond] and [burst] and returns `null`, or
+     * returns the time in milliseconds after which there may be as many. All hosts together may
+     * give out up to [slack] units beyond in each window.
      */
     public fun take(
         account: String,
-        perSecond: Double,
-        ownBurst: Double,
+        ownPerSecond: Double,
+        burst: Double,
         units: Long,
         nowMs: Long,
         slack: Double = 0.0
     ): Long? {
-        if (perSecond <= 0) return null
+        if (ownPerSecond <= 0) return null
         val given = recent.getOrPut(account) { RecentUnits() }
         val unheard = given.highestRate(nowMs) * newsAgeMs / MS_PER_S
-        val burst = ownBurst + (slack - unheard).coerceAtLeast(0.0)
-        val bucket = buckets.getOrPut(account) { Bucket(perSecond, burst, nowMs) }
+        val slackPerSecond = (slack - unheard).coerceAtLeast(0.0) / RecentUnits.WINDOW_S
+        val perSecond = ownPerSecond + slackPerSecond
+        val bucket = buckets.getOrPut(account) {
+            // Others may have given out the rest; what was heard of is surely gone.
+            val unspent = burst + ownPerSecond * RecentUnits.WINDOW_S - given.sum(nowMs)
+            Bucket(perSecond, burst, nowMs, minOf(unspent, burst * INITIAL_SHARE))
+        }
         bucket.follow(perSecond, burst)
         bucket.refill(nowMs, share)
         val needed = minOf(units.toDouble(), burst)
@@ -78,20 +83,30 @@
         totals.forEach { (account, total) ->
             val news = total - (peerTotals.put(account, total) ?: 0)
             recent.getOrPut(account) { RecentUnits() }.add(news, nowMs)
-            buckets[account]?.let { it.level = (it.level - news).coerceIn(-it.burst, it.burst) }
+            buckets[account]?.takeForPeers(news, nowMs, share)
         }
     }
 
-    private class Bucket(var perSecond: Double, var burst: Double, private var updatedAtMs: Long) {
-        // Others may have given out the rest before this process started.
-        var level = burst * INITIAL_SHARE
-
+    private class Bucket(
+        var perSecond: Double,
+        var burst: Double,
+        private var updatedAtMs: Long,
+        var level: Double
+    ) {
         fun follow(perSecond: Double, burst: Double) {
             this.perSecond = perSecond
             this.burst = burst
             level = minOf(level, burst)
         }
 
+        /** Takes what peers gave out, which may leave a debt. */
+        fun takeForPeers(units: Long, nowMs: Long, share: Double) {
+            // First, as news of a long time would otherwise be cut off at the largest debt.
+            refill(nowMs, share)
+            val largestDebt = burst + perSecond * LONGEST_DEBT_S
+            level = (level - units).coerceIn(-largestDebt, burst)
+        }
+
         fun refill(nowMs: Long, share: Double) {
             val elapsedMs = (nowMs - updatedAtMs).coerceAtLeast(0)
             level = minOf(burst, level + elapsedMs * perSecond * share / MS_PER_S)
@@ -101,6 +116,9 @@
 
     private companion object {
         const val INITIAL_SHARE = 0.5
+
+        /** Half of the window: what was given out before that no longer counts soon. */
+        const val LONGEST_DEBT_S = 4
         const val MS_PER_S = 1_000.0
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RecentUnits.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RecentUnits.kt
@@ -17,18 +17,25 @@
         return units.max().coerceAtLeast(0) * MS_PER_S / SLOT_MS
     }
 
+    /** The units of the whole window. */
+    fun sum(nowMs: Long): Long {
+        moveTo(nowMs / SLOT_MS)
+        return units.sum()
+    }
+
     private fun moveTo(slot: Long) {
         val passed = (slot - newestSlot).coerceIn(0, SLOTS.toLong())
         for (index in 1..passed) units[((slot - passed + index) % SLOTS).toInt()] = 0
         newestSlot = maxOf(newestSlot, slot)
     }
 
-    private companion object {
-        /** Over the period in which hosts hear of each other, so that a slot holds whole news. */
-        const val SLOT_MS = 250L
+    companion object {
+        /** The window in which operators judge quotas. */
+        const val WINDOW_S = 8
 
-        /** 8 s, the window in which quotas are judged. */
-        const val SLOTS = 32
-        const val MS_PER_S = 1_000.0
+        /** Over the period in which hosts hear of each other, so that a slot holds whole news. */
+        private const val SLOT_MS = 250L
+        private const val MS_PER_S = 1_000.0
+        private const val SLOTS = WINDOW_S * 4
     }
 }
