--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -159,7 +159,7 @@
         scope.launch { follow(FleetKinds.TARGETS, targets) }
         scope.launch { learnFromPeers() }
         scope.launch {
-            Rehearsal(traffic).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
+            rehearse()
             isRehearsed = true
         }
         peers.start()
@@ -203,6 +203,12 @@
         traffic.close()
     }
 
+    private suspend fun rehearse() = if (settings.isFirstStart) {
+        Rehearsal(traffic).run(FIRST_REHEARSED_REQUESTS, FIRST_REHEARSAL_LIMIT_MS)
+    } else {
+        Rehearsal(traffic).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
+    }
+
     private fun manifest(): Manifest? = board[Beliefs.manifest].firstOrNull()
 
     private fun readinessAnswer() = ControlServer.Answer(if (isReady) OK else UNAVAILABLE)
@@ -276,9 +282,15 @@
         const val STORE_FIRST_MS = 400L
         const val MAX_ASKED = 3
 
-        /** Enough that the classes and the first compilations of the whole path are there. */
-        const val REHEARSED_REQUESTS = 24
+        /** After so many, a request takes a fifth of the first ones' time. */
+        const val REHEARSED_REQUESTS = 50
         const val REHEARSAL_LIMIT_MS = 1_500L
+
+        /** After so many, a request takes hardly more than it ever will. */
+        const val FIRST_REHEARSED_REQUESTS = 250
+
+        /** Callers come some 15 s after a first start. */
+        const val FIRST_REHEARSAL_LIMIT_MS = 6_000L
         const val EVICT_MS = 1_000L
 
         /** The balancer asks once a second and takes a host out after two misses. */
