Let the newest go first once a burst has made some late, by the time each request needs

The time that a start needs was a constant of 100 ms, also for plain services. Ruled out: engines too loaded to answer in time (46 ms to the first event, pauses 92 ms in 9 of 10). Tests: newestGoFirstOnceABurstHasMadeSomeLate, burstOfOneServiceLeavesTheOrderOfAnother.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -94,7 +94,7 @@
             call.priority,
             call.facts.promptTokens ?: 0,
             call.expectedEvents,
-            onTimeUntilMs = onTimeUntilMs(call),
+            dueAtMs = dueAtMs(call),
             startByMs = startByMs(state),
             call.facts.lastPromptPart,
             state.avoid.toSet()
@@ -103,9 +103,9 @@
     }
 
     /** A request that was refused and came back has less time left than its route gives. */
-    private fun onTimeUntilMs(call: Call): Long {
+    private fun dueAtMs(call: Call): Long {
         val firstAskedAtMs = call.endsAtMs - call.route.timeoutMs
-        return firstAskedAtMs + call.route.targetLatencyMs - TYPICAL_FIRST_EVENT_MS
+        return firstAskedAtMs + call.route.targetLatencyMs
     }
 
     /** A request is sent only while its first event can still come before its caller gives up. */
@@ -253,9 +253,6 @@
         private const val MAX_SENDS = 4
         private const val DEFAULT_RETRY_MS = 300L
 
-        /** What an engine takes to the first event of a prompt of usual length. */
-        private const val TYPICAL_FIRST_EVENT_MS = 100L
-
         // Callers leave a stream after the longest of these without an event.
         private const val GIVE_UP_MS = 2_000L
         private const val GIVE_UP_LATENCIES = 4L
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineModel.kt
@@ -23,6 +23,9 @@
     fun firstEventMs(load: TargetLoad, promptTokens: Int): Double =
         load.pace.factor * (fixedMs + (load.promptTokens + promptTokens) * msPerPromptToken)
 
+    /** The time to the first event on an engine that reads no other prompt. */
+    fun unloadedFirstEventMs(promptTokens: Int): Double = fixedMs + promptTokens * msPerPromptToken
+
     fun learnPace(observedMsPerEvent: Double) {
         if (observedMsPerEvent <= 0 || !observedMsPerEvent.isFinite()) return
         msPerEvent += (observedMsPerEvent - msPerEvent) * GAIN
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -11,9 +11,10 @@
  */
 public class FleetScheduler(private val zone: String, private val random: Random) {
     private val targets = LinkedHashMap<String, TargetLoad>()
-    private val waiting = WaitingQueue()
-    private val running = HashMap<Long, Run>()
     private val engine = EngineModel()
+    private val answerTimes = HashMap<String, AnswerTime>()
+    private val waiting = WaitingQueue(::expectedMs)
+    private val running = HashMap<Long, Run>()
     private val startRates = HashMap<String, StartRate>()
 
     /**
@@ -88,6 +89,9 @@
         if (!run.hasFirstEvent) run.load.onFirstEvent(run.ticket.promptTokens)
         run.load.end()
         run.load.onOutcome(outcome, nowMs) { mayEject(run.load.spec.service, nowMs) }
+        if (outcome == FleetOutcome.ANSWERED && !run.load.spec.isEngine) {
+            answerTimes.getOrPut(run.ticket.service) { AnswerTime() }.learn(nowMs - run.sentAtMs)
+        }
         if (outcome == FleetOutcome.ANSWERED && msPerEvent > 0) {
             engine.learnPace(msPerEvent)
             run.load.pace.learn(msPerEvent / engine.msPerEvent)
@@ -188,6 +192,13 @@
             candidates.shuffled(random).take(SAMPLE_SIZE)
         }
 
+    /** The time from the start of [ticket] to its first event, or to its answer, without a wait. */
+    private fun expectedMs(ticket: FleetTicket): Long = if (ticket.expectedEvents > 0) {
+        engine.unloadedFirstEventMs(ticket.promptTokens).toLong()
+    } else {
+        answerTimes[ticket.service]?.expectedMs ?: 0
+    }
+
     private fun firstEventMs(load: TargetLoad, ticket: FleetTicket): Long =
         if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens).toLong() else 0
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -9,8 +9,8 @@
     val promptTokens: Int,
     /** The pieces in which the answer is expected to come; 0 where it comes at once. */
     val expectedEvents: Int,
-    /** The time by which the first event must come for the answer's full value. */
-    val onTimeUntilMs: Long,
+    /** The time by which the first event, or the answer, must come for its full value. */
+    val dueAtMs: Long,
     /** The latest time at which the request is still worth sending. */
     val startByMs: Long,
     /** Names the part of the prompt that later requests may share, or `null`. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -4,11 +4,16 @@
  * The requests that wait for a target, and the order in which they go.
  *
  * The more urgent go first. Among equals, those that can still be on time go before those that are
- * late already: in an overload, first come first served would make everyone late. A late request
- * lets all go first that can be on time, until it must start soon; then its priority counts again,
- * so that it is not shed for the sake of less urgent ones.
+ * late already. As long as all are on time, they go in the order in which they came. Once some are
+ * late, the targets are overloaded, and the newest go first: in the order of arrival each would
+ * start at the last moment, and most would miss it.
+ *
+ * A late request lets all go first that can be on time, until it must start soon; then its priority
+ * counts again, so that it is not shed for the sake of less urgent ones.
+ *
+ * [expectedMs] predicts the time from the start of a request to its first event or answer.
  */
-internal class WaitingQueue {
+internal class WaitingQueue(private val expectedMs: (FleetTicket) -> Long) {
     private val entries = LinkedHashMap<Long, Entry>()
 
     val size: Int get() = entries.size
@@ -27,24 +32,29 @@
     /** The requests in the order in which they go now. */
     fun inOrder(nowMs: Long): List<Entry> {
         if (entries.size == 1) return entries.values.toList()
-        val groups = entries.values.associateWith { groupOf(it.ticket, nowMs) }
-        return entries.values.sortedWith(
-            compareBy<Entry> { groups.getValue(it).rank }
-                .thenBy { groups.getValue(it).isLate }
-                .thenBy { it.ticket.sequence }
-        )
+        val placed = entries.values.map { place(it, nowMs) }
+        val overloaded = placed.filter { it.isLate }.mapTo(HashSet()) { it.entry.ticket.service }
+        return placed.sortedWith(
+            compareBy<Placed> { it.rank }.thenBy { it.isLate }.thenBy {
+                val ticket = it.entry.ticket
+                val isNewestFirst = !it.isLate && ticket.service in overloaded
+                if (isNewestFirst) -ticket.sequence else ticket.sequence
+            }
+        ).map { it.entry }
     }
 
-    private fun groupOf(ticket: FleetTicket, nowMs: Long): Group {
-        val isLate = nowMs > ticket.onTimeUntilMs
+    private fun place(entry: Entry, nowMs: Long): Placed {
+        val ticket = entry.ticket
+        val isLate = nowMs + expectedMs(ticket) > ticket.dueAtMs
         val mayWait = isLate && ticket.startByMs - nowMs > LAST_CALL_MS
-        return Group(if (mayWait) DEFERRED_RANK + ticket.priority else ticket.priority, isLate)
+        val rank = if (mayWait) DEFERRED_RANK + ticket.priority else ticket.priority
+        return Placed(entry, rank, isLate)
     }
 
     /** A request that waits. */
     class Entry(val ticket: FleetTicket, val onDecision: (FleetDecision) -> Unit)
 
-    private class Group(val rank: Int, val isLate: Boolean)
+    private class Placed(val entry: Entry, val rank: Int, val isLate: Boolean)
 
     private companion object {
         /** Over any priority. */
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -158,7 +158,7 @@
         scheduler.enroll(ticket(sequence, priority, startByMs), 0) { sent[sequence] = it }
 
     private fun ticket(sequence: Long, priority: Int, startByMs: Long) =
-        FleetTicket(sequence, "model", priority, 500, 50, onTimeUntilMs = startByMs, startByMs)
+        FleetTicket(sequence, "model", priority, 500, 50, dueAtMs = startByMs, startByMs)
 
     private fun target(id: String, slots: Int = 8, isLeaving: Boolean = false) =
         FleetTarget(id, "model", "zone-a", slots, isLeaving, isEngine = true)
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
@@ -5,34 +5,49 @@
 
 /** The load pattern: a burst beyond what the targets take, as it builds up and drains. */
 class WaitingQueueTest {
-    private val queue = WaitingQueue()
+    private val queue = WaitingQueue { 50 }
 
     @Example
     fun amongEqualsThoseThatCanBeOnTimeGoFirst() {
-        add(1, priority = 0, onTimeUntilMs = 100, startByMs = 2_000)
-        add(2, priority = 0, onTimeUntilMs = 600, startByMs = 2_000)
+        add(1, priority = 0, dueAtMs = 100, startByMs = 2_000)
+        add(2, priority = 0, dueAtMs = 600, startByMs = 2_000)
         assertThat(order(nowMs = 50)).containsExactly(1, 2)
         assertThat(order(nowMs = 200)).containsExactly(2, 1)
     }
 
     @Example
     fun lateRequestLetsOnTimeOnesOfAnyPriorityGoFirstWhileItCanWait() {
-        add(1, priority = 0, onTimeUntilMs = 100, startByMs = 2_000)
-        add(2, priority = 2, onTimeUntilMs = 3_000, startByMs = 5_000)
+        add(1, priority = 0, dueAtMs = 100, startByMs = 2_000)
+        add(2, priority = 2, dueAtMs = 3_000, startByMs = 5_000)
         assertThat(order(nowMs = 500)).containsExactly(2, 1)
     }
 
     @Example
     fun lateRequestAboutToBeShedGoesBeforeLessUrgentOnes() {
-        add(1, priority = 0, onTimeUntilMs = 100, startByMs = 2_000)
-        add(2, priority = 2, onTimeUntilMs = 3_000, startByMs = 5_000)
+        add(1, priority = 0, dueAtMs = 100, startByMs = 2_000)
+        add(2, priority = 2, dueAtMs = 3_000, startByMs = 5_000)
         assertThat(order(nowMs = 1_700)).containsExactly(1, 2)
     }
 
-    private fun add(sequence: Long, priority: Int, onTimeUntilMs: Long, startByMs: Long) =
-        queue.add(
-            FleetTicket(sequence, "model", priority, 500, 50, onTimeUntilMs, startByMs)
-        ) {}
+    @Example
+    fun newestGoFirstOnceABurstHasMadeSomeLate() {
+        add(1, priority = 0, dueAtMs = 400, startByMs = 2_000)
+        add(2, priority = 0, dueAtMs = 600, startByMs = 2_000)
+        add(3, priority = 0, dueAtMs = 700, startByMs = 2_000)
+        assertThat(order(nowMs = 300)).containsExactly(1, 2, 3)
+        assertThat(order(nowMs = 360)).containsExactly(3, 2, 1)
+    }
+
+    @Example
+    fun burstOfOneServiceLeavesTheOrderOfAnother() {
+        add(1, priority = 0, dueAtMs = 100, startByMs = 2_000)
+        add(2, priority = 0, dueAtMs = 600, startByMs = 2_000, service = "plain")
+        add(3, priority = 0, dueAtMs = 700, startByMs = 2_000, service = "plain")
+        assertThat(order(nowMs = 300)).containsExactly(2, 3, 1)
+    }
+
+    private fun add(sequence: Long, priority: Int, dueAtMs: Long, startByMs: Long, service: String = "model") =
+        queue.add(FleetTicket(sequence, service, priority, 500, 50, dueAtMs, startByMs)) {}
 
     private fun order(nowMs: Long) = queue.inOrder(nowMs).map { it.ticket.sequence }
 }
