--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -203,15 +203,10 @@
         traffic.close()
     }
 
-    private suspend fun rehearse() {
-        val startedAtMs = clock.nowMs()
-        if (settings.isFirstStart) {
-            Rehearsal(traffic).run(FIRST_REHEARSED_REQUESTS, FIRST_REHEARSAL_LIMIT_MS)
-        } else {
-            Rehearsal(traffic).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
-        }
-        val tookMs = clock.nowMs() - startedAtMs
-        log.belief("rehearsed", "firstStart" to settings.isFirstStart, "tookMs" to tookMs)
+    private suspend fun rehearse() = if (settings.isFirstStart) {
+        Rehearsal(traffic).run(FIRST_REHEARSED_REQUESTS, FIRST_REHEARSAL_LIMIT_MS)
+    } else {
+        Rehearsal(traffic).run(REHEARSED_REQUESTS, REHEARSAL_LIMIT_MS)
     }
 
     private fun manifest(): Manifest? = board[Beliefs.manifest].firstOrNull()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -96,7 +96,6 @@
             call.expectedEvents,
             dueAtMs = dueAtMs(call),
             startByMs = startByMs(state),
-            isReturning = dueAtMs(call) < call.arrivedAtMs + call.route.targetLatencyMs / 2,
             call.facts.lastPromptPart,
             state.avoid.toSet()
         )
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -104,9 +104,8 @@
         if (waiting.size == 0) return
         val full = HashMap<String, Int>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
-        for (placed in waiting.inOrder(nowMs)) {
-            val entry = placed.entry
-            val decision = decisionFor(placed, full, nowMs) ?: continue
+        for (entry in waiting.inOrder(nowMs)) {
+            val decision = decisionFor(entry.ticket, full, nowMs) ?: continue
             waiting.remove(entry.ticket.sequence)
             if (decision is FleetDecision.Send) start(entry.ticket, decision.targetId, nowMs)
             decided += entry to decision
@@ -138,20 +137,15 @@
         )
     }
 
-    /** Decides on a ticket; [ahead] counts the tickets that go before it in full services. */
+    /** Decides on [ticket]; [ahead] counts the tickets that go before it in full services. */
     private fun decisionFor(
-        placed: WaitingQueue.Placed,
+        ticket: FleetTicket,
         ahead: MutableMap<String, Int>,
         nowMs: Long
     ): FleetDecision? {
-        val ticket = placed.entry.ticket
         if (nowMs > ticket.startByMs) {
             return FleetDecision.Refuse("no target in time", retryAfterMs(ticket))
         }
-        if (placed.isDeferred && hasOnlyReserve(ticket.service, nowMs)) {
-            if (ticket.isReturning) return null
-            return FleetDecision.Refuse("late in an overload", overloadRetryMs())
-        }
         val position = ahead[ticket.service]
         if (position == null) {
             val best = choose(ticket, nowMs)
@@ -163,19 +157,6 @@
         return null
     }
 
-    /**
-     * Whether so few places are left that a late request should leave them to the next ones that
-     * can be on time: it would hold its place for longer than the next one can wait.
-     */
-    private fun hasOnlyReserve(service: String, nowMs: Long): Boolean {
-        val all = usable(service, nowMs)
-        val places = all.sumOf { it.spec.slots }
-        return all.sumOf { (it.spec.slots - it.count).coerceAtLeast(0) } < places * RESERVE_SHARE
-    }
-
-    /** Bursts last some seconds; those who come back before their end are refused again. */
-    private fun overloadRetryMs() = OVERLOAD_RETRY_MS + random.nextLong(OVERLOAD_RETRY_MS)
-
     /** Whether a ticket with [position] others ahead may get a target in time. */
     private fun isWithinReach(ticket: FleetTicket, position: Int, nowMs: Long): Boolean {
         if (position < SURELY_REACHED) return true
@@ -288,10 +269,6 @@
     }
 
     private companion object {
-        /** Holds what arrives on time while the places that get free are few. */
-        const val RESERVE_SHARE = 0.1
-        const val OVERLOAD_RETRY_MS = 1_500L
-
         /** So few ahead are no reason to refuse, whatever the rate. */
         const val SURELY_REACHED = 6
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -30,9 +30,9 @@
     fun countUpTo(priority: Int): Int = entries.values.count { it.ticket.priority <= priority }
 
     /** The requests in the order in which they go now. */
-    fun inOrder(nowMs: Long): List<Placed> {
+    fun inOrder(nowMs: Long): List<Entry> {
+        if (entries.size == 1) return entries.values.toList()
         val placed = entries.values.map { place(it, nowMs) }
-        if (placed.size <= 1) return placed
         val overloaded = placed.filter { it.isLate }.mapTo(HashSet()) { it.entry.ticket.service }
         return placed.sortedWith(
             compareBy<Placed> { it.rank }.thenBy { it.isLate }.thenBy {
@@ -40,7 +40,7 @@
                 val isNewestFirst = !it.isLate && ticket.service in overloaded
                 if (isNewestFirst) -ticket.sequence else ticket.sequence
             }
-        )
+        ).map { it.entry }
     }
 
     private fun place(entry: Entry, nowMs: Long): Placed {
@@ -48,20 +48,13 @@
         val isLate = nowMs + expectedMs(ticket) > ticket.dueAtMs
         val mayWait = isLate && ticket.startByMs - nowMs > LAST_CALL_MS
         val rank = if (mayWait) DEFERRED_RANK + ticket.priority else ticket.priority
-        return Placed(entry, rank, isLate, mayWait)
+        return Placed(entry, rank, isLate)
     }
 
     /** A request that waits. */
     class Entry(val ticket: FleetTicket, val onDecision: (FleetDecision) -> Unit)
 
-    /** Where a request stands at a moment. */
-    class Placed(
-        val entry: Entry,
-        val rank: Int,
-        val isLate: Boolean,
-        /** Whether the request is late and lets all go first that can be on time. */
-        val isDeferred: Boolean
-    )
+    private class Placed(val entry: Entry, val rank: Int, val isLate: Boolean)
 
     private companion object {
         /** Over any priority. */
