Count what hosts took of quotas from their first report to a hub

Tests: whatWasTakenBeforeTheFirstReportIsNotNews, hostThatWasSilentForAWhileIsCountedOnce. Two older tests now report zero first, as a new process does; what they check is unchanged. Refusals of the gate say the account, units, quota and manifest that decided them.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -122,7 +122,8 @@
             "status" to refusal.status,
             "reason" to refusal.reason,
             "retryAfterMs" to refusal.retryAfterMs,
-            "path" to request.path
+            "path" to request.path,
+            *refusal.inputs.toTypedArray()
         )
         val keeps = request.keepsConnection && !services.activity.isStopping
         val headers = Exchange.refusalHeaders(id, refusal.retryAfterMs)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/Gate.kt
@@ -34,16 +34,27 @@
             ?: return Admission.Refused(UNAVAILABLE, "no manifest yet", STARTING_RETRY_MS)
         val facts = RequestFacts.of(request.headers)
         val host = request.headers["Host"].orEmpty()
+        val version = listOf("manifest" to known.version)
         val route = known.routeFor(host, request.path)
-            ?: return Admission.Refused(NOT_FOUND, "no route")
+            ?: return Admission.Refused(NOT_FOUND, "no route", inputs = version)
         val account = facts.apiKey?.let(known::accountOf)
         if (account == null && known.hasAccounts && !route.isPublic) {
-            return Admission.Refused(UNAUTHENTICATED, "unknown key", priority = route.priority)
+            return Admission.Refused(
+                UNAUTHENTICATED,
+                "unknown key",
+                priority = route.priority,
+                inputs = version + ("route" to route.name)
+            )
         }
         val priority = account?.priority ?: route.priority
         val waitMs = account?.let { quotas.take(it, unitsOf(facts, it)) }
-        if (waitMs != null) {
-            return Admission.Refused(TOO_MANY, "over quota", waitMs, priority)
+        if (account != null && waitMs != null) {
+            val inputs = version + listOf(
+                "account" to account.name,
+                "units" to unitsOf(facts, account),
+                "quotaPerS" to account.quotaPerS
+            )
+            return Admission.Refused(TOO_MANY, "over quota", waitMs, priority, inputs)
         }
         return Admission.Admitted(call(request, body, arrivedAtMs, known, facts, route, account))
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Call.kt
@@ -36,6 +36,8 @@
         val status: Int,
         val reason: String,
         val retryAfterMs: Long? = null,
-        val priority: Int? = null
+        val priority: Int? = null,
+        /** What the decision rested on, for the log. */
+        val inputs: List<Pair<String, Any?>> = emptyList()
     ) : Admission()
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
@@ -24,21 +24,23 @@
 /**
  * Adds up the reports of all hosts, for the one host that the others report to.
  *
- * Loads of a host that fell silent are dropped after [silentMs]; what it took of quotas stays
- * counted, so that totals never go back. Single-threaded.
+ * Loads of a host that fell silent are dropped after [silentMs]. What hosts took of quotas counts
+ * from the first report that this hub got of them: what they took before was counted by another
+ * hub, or is past. Single-threaded.
  */
 public class LoadHub(private val silentMs: Long) {
     private val reports = HashMap<String, Received>()
+    private val quotaUse = HashMap<String, QuotaUse>()
     private val quotaTotals = HashMap<String, Long>()
 
     /** Takes a host's report. */
     public fun onReport(report: LoadReport, nowMs: Long) {
-        val before = reports.put(
-            report.host,
-            Received(report, nowMs)
-        )?.report?.quotaTotals.orEmpty()
+        reports[report.host] = Received(report, nowMs)
+        val use = quotaUse.getOrPut(report.host) { QuotaUse(report.quotaTotals) }
+        use.heardAtMs = nowMs
         report.quotaTotals.forEach { (account, total) ->
-            val news = total - (before[account] ?: 0)
+            val news = total - (use.reported.put(account, total) ?: 0)
+            use.counted.merge(account, news, Long::plus)
             quotaTotals.merge(account, news, Long::plus)
         }
     }
@@ -49,6 +51,7 @@
     /** Forgets the hosts that fell silent. */
     public fun expire(nowMs: Long) {
         reports.values.removeIf { nowMs - it.atMs > silentMs }
+        quotaUse.values.removeIf { nowMs - it.heardAtMs > FORGOTTEN_MS }
     }
 
     /** What all hosts but [receiver] have reported. */
@@ -66,15 +69,28 @@
             .flatMap { it.report.suspects }.groupingBy { it }.eachCount()
         val needed = minOf(WITNESSES, reports.size - 1)
         val suspects = counts.filterValues { it >= needed }.keys.toSet()
-        val own = reports[receiver]?.report?.quotaTotals.orEmpty()
+        val own = quotaUse[receiver]?.counted.orEmpty()
         val totals = quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
         return LoadSummary(loads, totals, suspects, reports.size)
     }
 
     private class Received(val report: LoadReport, val atMs: Long)
 
+    /** What one host took of quotas, by account. */
+    private class QuotaUse(first: Map<String, Long>) {
+        /** As it last reported. */
+        val reported = HashMap(first)
+
+        /** What is in the totals of it. */
+        val counted = HashMap<String, Long>()
+        var heardAtMs = 0L
+    }
+
     private companion object {
         /** One host alone may have a broken path of its own to a target. */
         const val WITNESSES = 2
+
+        /** Over the longest freeze or cut, after which a host reports what it took meanwhile. */
+        const val FORGOTTEN_MS = 600_000L
     }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadHubTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadHubTest.kt
@@ -9,6 +9,8 @@
 
     @Example
     fun summaryAddsUpAllOthers() {
+        report("a")
+        report("b")
         report("a", mapOf("t1" to PeerLoad(1, 10)), mapOf("x" to 5L))
         report("b", mapOf("t1" to PeerLoad(2, 20), "t2" to PeerLoad(1, 1)), mapOf("x" to 7L))
         val summary = hub.summaryFor("a")
@@ -19,6 +21,7 @@
 
     @Example
     fun silentHostsLoadsLapseButItsQuotaUseStays() {
+        report("a")
         report("a", mapOf("t1" to PeerLoad(1, 10)), mapOf("x" to 5L))
         report("b", emptyMap(), emptyMap(), nowMs = 1_500)
         hub.expire(1_500)
@@ -27,6 +30,26 @@
         assertThat(summary.quotaTotals).isEqualTo(mapOf("x" to 5L))
     }
 
+    /** The load pattern: the hub dies, or a host pauses, while an account is well below its quota. */
+    @Example
+    fun whatWasTakenBeforeTheFirstReportIsNotNews() {
+        report("a", quotaTotals = mapOf("x" to 1_000_000L))
+        report("b", quotaTotals = mapOf("x" to 2_000_000L))
+        assertThat(hub.summaryFor("c").quotaTotals["x"] ?: 0L).isEqualTo(0L)
+        report("a", quotaTotals = mapOf("x" to 1_000_010L))
+        assertThat(hub.summaryFor("b").quotaTotals).isEqualTo(mapOf("x" to 10L))
+        assertThat(hub.summaryFor("a").quotaTotals).isEqualTo(mapOf("x" to 0L))
+    }
+
+    @Example
+    fun hostThatWasSilentForAWhileIsCountedOnce() {
+        report("a", quotaTotals = mapOf("x" to 1_000_000L))
+        report("a", quotaTotals = mapOf("x" to 1_000_010L))
+        hub.expire(1_500)
+        report("a", quotaTotals = mapOf("x" to 1_000_030L), nowMs = 1_600)
+        assertThat(hub.summaryFor("b").quotaTotals).isEqualTo(mapOf("x" to 30L))
+    }
+
     @Example
     fun aTargetIsSuspectedOnlyOnTwoHostsWord() {
         report("a", suspects = setOf("t1", "t2"))
