Share the speeds of targets among hosts, and learn them from the first events of an answer

With some ten requests a second a host needs tens of seconds to learn 42 of them, and learned only from ended answers: in the first seconds 15% of the streams went to the slowest third, whose first events took 285 ms in the middle and 726 ms in 9 of 10; 7% once they were known. Tests: targetThatOtherHostsFoundSlowIsAvoidedFromTheFirstRequest, paceOfAnAnswerCountsBeforeItsEnd, speedsAreAveragedOverAllHostsByTheirSamples.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -52,10 +52,15 @@
 
     private inner class State(val call: Call, val caller: CallerConnection) {
         val avoid = HashSet<String>()
-        val relay = StreamRelay(caller, clock) {
-            turns.onFirstEvent(turnSequence)
-            metrics.onFirstEvent(call.priority, clock.nowMs() - call.arrivedAtMs)
-        }
+        val relay = StreamRelay(
+            caller,
+            clock,
+            onFirstEvent = {
+                turns.onFirstEvent(turnSequence)
+                metrics.onFirstEvent(call.priority, clock.nowMs() - call.arrivedAtMs)
+            },
+            onPace = { turns.onPace(turnSequence, it) }
+        )
         var turnSequence = 0L
         var sends = 0
         var runs = 0
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/StreamRelay.kt
@@ -12,7 +12,9 @@
 internal class StreamRelay(
     private val caller: CallerConnection,
     private val clock: MonotonicClock,
-    private val onFirstEvent: () -> Unit
+    private val onFirstEvent: () -> Unit,
+    /** Told once in each run the milliseconds between its first events. */
+    private val onPace: (Double) -> Unit
 ) {
     /** Whether the head of the answer was passed on. */
     var isStarted = false
@@ -55,7 +57,9 @@
                 firstAtMs = lastAtMs
                 onFirstEvent()
             }
+            val isPaceNew = ownCount <= MIN_INTERVALS && ownCount + events.size > MIN_INTERVALS
             ownCount += events.size
+            if (isPaceNew) onPace((lastAtMs - firstAtMs).toDouble() / (ownCount - 1))
             passOn(answer, events)
         }
         if (splitter.rest.isNotEmpty()) throw IOException("stream ended within an event")
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Turns.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Turns.kt
@@ -45,6 +45,9 @@
         control.post { scheduler.onFirstEvent(sequence, nowMs) }
     }
 
+    fun onPace(sequence: Long, msPerEvent: Double) =
+        control.post { scheduler.onPace(sequence, msPerEvent) }
+
     fun release(sequence: Long, outcome: FleetOutcome, msPerEvent: Double = 0.0) {
         val nowMs = clock.nowMs()
         control.post { scheduler.release(sequence, outcome, nowMs, msPerEvent) }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/Fleet.kt
@@ -59,6 +59,7 @@
     private val hub = LoadHub(SILENT_MS)
     private val silentUntilMs = HashMap<NodeId, Long>()
     private var currentHub: NodeId? = null
+    private var exchangeCount = 0L
     private var hubHeardAtMs = clock.nowMs()
     private var isInformed = false
     private var informedAtMs = clock.nowMs()
@@ -157,8 +158,12 @@
     private fun exchangePeriodMs(): Long =
         maxOf(EXCHANGE_MS, (hostCount * EXCHANGE_MS_PER_HOST).toLong())
 
+    /** Speeds change slowly, so they are told only now and then. */
+    private val isPaceTurn: Boolean get() = exchangeCount % PACE_PERIODS == 0L
+
     private fun exchange() {
         val nowMs = clock.nowMs()
+        exchangeCount++
         checkHub(nowMs)
         val target = chooseHub(nowMs)
         if (target != currentHub) {
@@ -170,7 +175,8 @@
             self.value,
             scheduler.ownLoads(),
             quotas.ownTotals().toMap(),
-            scheduler.suspects(nowMs)
+            scheduler.suspects(nowMs),
+            if (isPaceTurn) scheduler.ownPaces() else emptyMap()
         )
         when {
             target == null -> Unit
@@ -214,17 +220,19 @@
 
     private fun serveAsHub(nowMs: Long) {
         hub.expire(nowMs)
-        hub.hosts().forEach(::sendSummary)
+        val paces = if (isPaceTurn) hub.paces() else emptyMap()
+        hub.hosts().forEach { sendSummary(it, paces) }
     }
 
-    private fun sendSummary(host: String) {
+    private fun sendSummary(host: String, paces: Map<String, Double>) {
         val summary = hub.summaryFor(host)
         val message = PeerMessage.Summary(
             self.value,
             summary.loads.toMessages(),
             quotaMessages(summary.quotaTotals),
             summary.hostCount,
-            summary.suspects.toList()
+            summary.suspects.toList(),
+            paces.map { PeerMessage.Pace(it.key, (it.value * PERCENT).toInt()) }
         )
         if (host == self.value) return onSummary(message)
         membership.find(NodeId(host))?.let { ports.send(addressOf(it.host), message) }
@@ -235,11 +243,14 @@
             message.host,
             message.loads.toLoads(),
             message.quotas.associate { it.account to it.units },
-            message.suspects.toSet()
+            message.suspects.toSet(),
+            message.paces.associate {
+                it.target to LoadReport.Pace(it.percent / PERCENT, it.samples)
+            }
         )
         hub.onReport(report, clock.nowMs())
         // A host that others take for the hub serves them even if it would choose another.
-        if (currentHub != self) sendSummary(message.host)
+        if (currentHub != self) sendSummary(message.host, emptyMap())
     }
 
     private fun onSummary(message: PeerMessage.Summary) {
@@ -256,6 +267,7 @@
         quotas.newsAgeMs = exchangePeriodMs() * NEWS_PERIODS
         scheduler.updatePeerLoads(message.loads.toLoads())
         scheduler.updatePeerSuspects(message.suspects.toSet())
+        scheduler.updateFleetPaces(message.paces.associate { it.target to it.percent / PERCENT })
         scheduler.hostCount = hostCount
         scheduler.decide(nowMs)
     }
@@ -264,7 +276,10 @@
         report.host,
         report.loads.toMessages(),
         quotaMessages(report.quotaTotals),
-        report.suspects.toList()
+        report.suspects.toList(),
+        report.paces.map { (target, pace) ->
+            PeerMessage.Pace(target, (pace.factor * PERCENT).toInt(), pace.samples)
+        }
     )
 
     private fun Map<String, FleetScheduler.PeerLoad>.toMessages() =
@@ -286,6 +301,10 @@
         const val EXCHANGE_MS = 50L
         const val EXCHANGE_MS_PER_HOST = 2.5
 
+        /** Some 1 KB each time on 50 targets; a second on a fleet of 80 hosts. */
+        const val PACE_PERIODS = 5
+        const val PERCENT = 100.0
+
         /** News wait for a host's report, and then for the hub's summary; one of them may be lost. */
         const val NEWS_PERIODS = 3
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -27,7 +27,8 @@
         @CborLabel(1) val host: String,
         @CborLabel(2) val loads: List<Load>,
         @CborLabel(3) val quotas: List<QuotaTotal>,
-        @CborLabel(4) val suspects: List<String> = emptyList()
+        @CborLabel(4) val suspects: List<String> = emptyList(),
+        @CborLabel(5) val paces: List<Pace> = emptyList()
     ) : PeerMessage()
 
     /** The loads of all hosts but the receiver, from the hub. */
@@ -38,7 +39,8 @@
         @CborLabel(2) val loads: List<Load>,
         @CborLabel(3) val quotas: List<QuotaTotal>,
         @CborLabel(4) val hostCount: Int,
-        @CborLabel(5) val suspects: List<String> = emptyList()
+        @CborLabel(5) val suspects: List<String> = emptyList(),
+        @CborLabel(6) val paces: List<Pace> = emptyList()
     ) : PeerMessage()
 
     /** The requests that were sent to a target and have not ended. */
@@ -49,6 +51,15 @@
         @CborLabel(3) val promptTokens: Long
     )
 
+    /** The speed of a target against the usual one, in percent. */
+    @Serializable
+    data class Pace(
+        @CborLabel(1) val target: String,
+        @CborLabel(2) val percent: Int,
+        /** The answers that it was learned from; 0 in a summary. */
+        @CborLabel(3) val samples: Int = 0
+    )
+
     /** What was taken of an account's quota in all. */
     @Serializable
     data class QuotaTotal(@CborLabel(1) val account: String, @CborLabel(2) val units: Long)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -53,6 +53,15 @@
     public fun ownLoads(): Map<String, PeerLoad> = targets.filterValues { it.ownCount > 0 }
         .mapValues { PeerLoad(it.value.ownCount, it.value.ownPromptTokens) }
 
+    /** The speeds of targets that this host has learned, for the other hosts. */
+    public fun ownPaces(): Map<String, LoadReport.Pace> = targets.entries.mapNotNull { (id, load) ->
+        load.pace.learned()?.let { id to it }
+    }.toMap()
+
+    /** Takes the speeds of targets that all hosts have learned. */
+    public fun updateFleetPaces(paces: Map<String, Double>): Unit =
+        paces.forEach { (id, factor) -> targets[id]?.pace?.fleet = factor }
+
     /** Takes [ticket]; its decision is given to [onDecision], now or by a later call. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
         waiting.add(ticket, onDecision)
@@ -75,6 +84,11 @@
         engine.learnFirstEvent(tookMs, run.aheadTokens, run.load.pace.factor)
     }
 
+    /** Learns from the pace at which the answer to a ticket that was sent comes so far. */
+    public fun onPace(sequence: Long, msPerEvent: Double) {
+        running[sequence]?.let { learnPace(it.load, msPerEvent) }
+    }
+
     /**
      * Ends a ticket that was sent. [msPerEvent] is the pace of its answer, or 0 if too
      * little came to tell. Repeats have no effect.
@@ -93,8 +107,7 @@
             answerTimes.getOrPut(run.ticket.service) { AnswerTime() }.learn(nowMs - run.sentAtMs)
         }
         if (outcome == FleetOutcome.ANSWERED && msPerEvent > 0) {
-            engine.learnPace(msPerEvent)
-            run.load.pace.learn(msPerEvent / engine.msPerEvent)
+            learnPace(run.load, msPerEvent)
         }
         decide(nowMs)
     }
@@ -213,6 +226,11 @@
         return predictedMs * (1 + random.nextDouble() * TIE_SHARE)
     }
 
+    private fun learnPace(load: TargetLoad, msPerEvent: Double) {
+        engine.learnPace(msPerEvent)
+        load.pace.learn(msPerEvent / engine.msPerEvent)
+    }
+
     private fun usable(service: String, nowMs: Long): List<TargetLoad> {
         val listed = targets.values.filter { it.spec.service == service && !it.spec.isLeaving }
         return listed.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { listed }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadHub.kt
@@ -8,8 +8,13 @@
     /** What it took of each account's quota in all. */
     val quotaTotals: Map<String, Long>,
     /** The targets that failed there lately. */
-    val suspects: Set<String> = emptySet()
-)
+    val suspects: Set<String> = emptySet(),
+    /** The speeds of targets as learned there; empty in most reports, as they change slowly. */
+    val paces: Map<String, Pace> = emptyMap()
+) {
+    /** How much longer a target takes than is usual, as the average of [samples] answers. */
+    public data class Pace(val factor: Double, val samples: Int)
+}
 
 /** What all hosts but the receiver have reported. */
 public data class LoadSummary(
@@ -32,10 +37,12 @@
     private val reports = HashMap<String, Received>()
     private val quotaUse = HashMap<String, QuotaUse>()
     private val quotaTotals = HashMap<String, Long>()
+    private val paces = HashMap<String, Map<String, LoadReport.Pace>>()
 
     /** Takes a host's report. */
     public fun onReport(report: LoadReport, nowMs: Long) {
         reports[report.host] = Received(report, nowMs)
+        if (report.paces.isNotEmpty()) paces[report.host] = report.paces
         val use = quotaUse.getOrPut(report.host) { QuotaUse(report.quotaTotals) }
         use.heardAtMs = nowMs
         report.quotaTotals.forEach { (account, total) ->
@@ -51,9 +58,24 @@
     /** Forgets the hosts that fell silent. */
     public fun expire(nowMs: Long) {
         reports.values.removeIf { nowMs - it.atMs > silentMs }
+        paces.keys.retainAll(reports.keys)
         quotaUse.values.removeIf { nowMs - it.heardAtMs > FORGOTTEN_MS }
     }
 
+    /** The speeds of targets, averaged over what all hosts learned. */
+    public fun paces(): Map<String, Double> {
+        val sums = HashMap<String, LoadReport.Pace>()
+        paces.values.forEach { learned ->
+            learned.forEach { (target, pace) ->
+                val weighted = LoadReport.Pace(pace.factor * pace.samples, pace.samples)
+                sums.merge(target, weighted) { a, b ->
+                    LoadReport.Pace(a.factor + b.factor, a.samples + b.samples)
+                }
+            }
+        }
+        return sums.mapValues { it.value.factor / it.value.samples }
+    }
+
     /** What all hosts but [receiver] have reported. */
     public fun summaryFor(receiver: String): LoadSummary {
         val loads = HashMap<String, FleetScheduler.PeerLoad>()
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -46,25 +46,3 @@
         if (health.onOutcome(outcome) && mayEject()) health.eject(nowMs)
     }
 }
-
-/** The speed of a target against the usual one, as a moving average; 1 is usual, 2 half as fast. */
-internal class Pace {
-    var factor = 1.0
-        private set
-    var samples = 0
-        private set
-
-    fun learn(observed: Double) {
-        if (!observed.isFinite() || observed <= 0) return
-        val gain = if (samples < SETTLING_SAMPLES) 1.0 / (samples + 1) else GAIN
-        factor += (observed.coerceIn(MIN_FACTOR, MAX_FACTOR) - factor) * gain
-        samples++
-    }
-
-    private companion object {
-        const val SETTLING_SAMPLES = 5
-        const val GAIN = 0.15
-        const val MIN_FACTOR = 0.1
-        const val MAX_FACTOR = 20.0
-    }
-}
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -113,6 +113,23 @@
         assertThat(scheduler.waitingCount).isBetween(6, 20)
     }
 
+    /** The load pattern: many hosts with few requests each, just after a start. */
+    @Example
+    fun targetThatOtherHostsFoundSlowIsAvoidedFromTheFirstRequest() {
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        scheduler.updateFleetPaces(mapOf("t1" to 6.0, "t2" to 1.0))
+        (1L..4L).forEach { enroll(it) }
+        assertThat(sent.values).allMatch { it is FleetDecision.Send && it.targetId == "t2" }
+    }
+
+    @Example
+    fun paceOfAnAnswerCountsBeforeItsEnd() {
+        scheduler.updateTargets(listOf(target("t1")))
+        enroll(1)
+        scheduler.onPace(1, msPerEvent = 150.0)
+        assertThat(scheduler.ownPaces().getValue("t1").factor).isGreaterThan(4.0)
+    }
+
     @Example
     fun withdrawnRequestIsNeverSent() {
         scheduler.updateTargets(listOf(target("t1", slots = 1)))
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadHubTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadHubTest.kt
@@ -59,6 +59,16 @@
         assertThat(hub.summaryFor("a").suspects).isEmpty()
     }
 
+    @Example
+    fun speedsAreAveragedOverAllHostsByTheirSamples() {
+        val report = LoadReport("a", emptyMap(), emptyMap())
+        hub.onReport(report.copy(paces = mapOf("t1" to LoadReport.Pace(6.0, 9))), 0)
+        hub.onReport(report.copy(host = "b", paces = mapOf("t1" to LoadReport.Pace(1.0, 1))), 0)
+        // Most reports tell no speeds; the last ones stay.
+        hub.onReport(report, 10)
+        assertThat(hub.paces()).isEqualTo(mapOf("t1" to 5.5))
+    }
+
     private fun report(
         host: String,
         loads: Map<String, PeerLoad> = emptyMap(),
