--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/flow/Exchange.kt
@@ -101,7 +101,6 @@
             call.expectedEvents,
             dueAtMs = dueAtMs(call),
             startByMs = startByMs(state),
-            call.facts.lastPromptPart,
             state.avoid.toSet()
         )
         return turns.acquire(ticket)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.DatagramChannel
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
@@ -25,10 +24,6 @@
     private val onMessage: (PeerMessage, String) -> Unit
 ) : AutoCloseable {
     private val channel = DatagramChannel.open()
-    private val sent = AtomicLong()
-
-    /** The bytes sent so far. */
-    val sentBytes: Long get() = sent.get()
 
     fun start() {
         channel.bind(InetSocketAddress(address.host, address.port))
@@ -40,7 +35,6 @@
         val bytes = PeerMessage.codec.encodeToByteArray(message)
         try {
             channel.send(ByteBuffer.wrap(bytes), InetSocketAddress(to.host, to.port))
-            sent.addAndGet(bytes.size.toLong())
         } catch (cause: IOException) {
             log.failure("datagram not sent", cause, "to" to to.toString())
         }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -13,8 +13,6 @@
     val dueAtMs: Long,
     /** The latest time at which the request is still worth sending. */
     val startByMs: Long,
-    /** Names the part of the prompt that later requests may share, or `null`. */
-    val promptPart: String? = null,
     /** Targets that failed or refused this request. */
     val avoid: Set<String> = emptySet()
 )
