--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -287,7 +287,7 @@
         const val REHEARSAL_LIMIT_MS = 1_500L
 
         /** After so many, a request takes hardly more than it ever will. */
-        const val FIRST_REHEARSED_REQUESTS = 250
+        const val FIRST_REHEARSED_REQUESTS = 150
 
         /** Callers come some 15 s after a first start. */
         const val FIRST_REHEARSAL_LIMIT_MS = 6_000L
