A channel that another thread closes must not end the loop for traffic

Cause, found by reading: the pool closes idle connections on the control thread; if bytes arrived on one just then, its key was asked for after it was cancelled, and the exception ended the thread for traffic. Test: channelsThatOtherThreadsCloseWhileBytesArriveLeaveTheLoopRunning; before, 'Exception in thread "traffic" java.nio.channels.CancelledKeyException' and no end within five minutes; now 0.5 s.

--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/Readiness.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/Readiness.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.http
 
+import java.nio.channels.CancelledKeyException
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SelectionKey
@@ -43,8 +44,13 @@
         }
 
     private fun ask(op: Int) {
-        if (!key.isValid) return
-        if (key.interestOpsOr(op) and op == 0) loop.wakeUp()
+        val before = try {
+            key.interestOpsOr(op)
+        } catch (_: CancelledKeyException) {
+            // Another thread has closed the channel; its close ends the waiting.
+            return
+        }
+        if (before and op == 0) loop.wakeUp()
     }
 
     private fun onReady(ready: SelectionKey) {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.http
 
 import java.io.IOException
+import java.nio.channels.CancelledKeyException
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SelectionKey
 import java.nio.channels.Selector
@@ -133,7 +134,11 @@
     }
 
     @Suppress("UNCHECKED_CAST")
-    private fun onReady(key: SelectionKey) = (key.attachment() as (SelectionKey) -> Unit)(key)
+    private fun onReady(key: SelectionKey) = try {
+        (key.attachment() as (SelectionKey) -> Unit)(key)
+    } catch (_: CancelledKeyException) {
+        // Another thread has just closed the channel, which ends those who wait for it.
+    }
 
     private fun schedule(delayMs: Long, action: Runnable): Timer {
         val delayNs = TimeUnit.MILLISECONDS.toNanos(delayMs.coerceIn(0, FOREVER_MS))
--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
@@ -69,6 +69,27 @@
         assertThat(withTimeout(5_000) { read.await() }).isInstanceOf(IOException::class.java)
     }
 
+    /** The pool closes idle connections from the control thread, while bytes may arrive on them. */
+    @Example
+    fun channelsThatOtherThreadsCloseWhileBytesArriveLeaveTheLoopRunning() = runBlocking {
+        val address = InetSocketAddress("127.0.0.1", server.localPort)
+        repeat(300) {
+            val socket = TcpSocket.connect(address, loop)
+            val other = server.accept()
+            val read = launch(loop) { runCatching { socket.input.awaitContent(1_000) } }
+            val writer = launch(Dispatchers.IO) {
+                runCatching { other.getOutputStream().write(ByteArray(500)) }
+            }
+            launch(Dispatchers.IO) { socket.close() }
+            withTimeout(5_000) {
+                writer.join()
+                read.join()
+            }
+            other.close()
+        }
+        assertThat(withTimeout(5_000) { withContext(loop) { 1 } }).isEqualTo(1)
+    }
+
     @Example
     fun writerWaitsForAnEndThatDoesNotReadAndLosesNothing() = connected { socket, other ->
         val bytes = ByteArray(8_000_000) { (it % 251).toByte() }
