--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -20,10 +20,8 @@
  *
  * Its channels read and write in the coroutine that calls them; nothing is read ahead of need.
  */
-public class TcpSocket internal constructor(
-    private val channel: SocketChannel,
-    loop: TrafficLoop
-) : AutoCloseable {
+public class TcpSocket internal constructor(private val channel: SocketChannel, loop: TrafficLoop) :
+    AutoCloseable {
     private val readiness = Readiness(channel, loop)
     private val reader = Reader()
 
