--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/belief/StoreFollower.kt
@@ -126,7 +126,7 @@
         /** Short of the bounds on drains and manifests, so that a silent watch breaks neither. */
         const val WATCH_MS = 3_000L
 
-        /** So that the store's return is noticed within 2.5 s: 1.2 s of waits and 1.2 s of a call. */
+        /** The store's return is noticed within 2.5 s: 1.2 s of waits and 1.2 s of a call. */
         const val PROBE_MS = 200L
 
         /** Well under the bounds on drains and manifests, 2 s. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -284,7 +284,7 @@
         eventually { world.ask("/moved/").status == 200 }
     }
 
-    /** A call that began in the silence is never answered, so a long one hides the store's return. */
+    /** A call that began in the silence is never answered; a long one hides the return. */
     @Example
     fun manifestOfAStoreThatWasSilentIsInForceSoonAfterItsReturn() {
         world.target("t1") { request, connection -> EdgeWorld.answer(request, connection) }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/FleetTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/FleetTest.kt
@@ -85,7 +85,7 @@
                 if (units > 0 && host.admits(units)) admitted += clock.nowMs() to units
             }
         }
-        // The rule's own figures: a window of 8 s, a burst of one second, a tenth more, and the slack.
+        // The rule: a window of 8 s, a burst of one second, a tenth more, and the slack.
         val allowed = QUOTA_PER_S * 9 * 1.1 + QUOTA_SLACK
         val startMs = admitted.first().first
         for (start in startMs..startMs + 12_000 step 100) {
