--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
@@ -38,9 +38,9 @@
 
     internal companion object {
         /** The part of the allowed overage that is given out. */
-        const val OVERAGE_USED = 0.5
+        const val OVERAGE_USED = 0.3
 
         /** The part of the slack that is given out; what is unheard of is taken off it. */
-        const val SLACK_USED = 0.5
+        const val SLACK_USED = 0.1
     }
 }
