--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/SharedQuotas.kt
@@ -9,8 +9,9 @@
 /**
  * The quota book for traffic.
  *
- * Quotas are given out with most of the overage that [bounds] allow, so that what is within an
- * account's quota is not refused; the rest covers what hosts admit before they hear of each other.
+ * Quotas are given out with a part of the overage that [bounds] allow, so that what is within an
+ * account's quota is not refused; the rest covers what hosts admit before they hear of each other,
+ * most of it when a flood begins while the hub changes.
  * The slack beside it is given out only while targets have room: what an account gets beyond its
  * quota must not keep others waiting.
  */
