--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
@@ -2,8 +2,6 @@
 
 import java.io.File
 import java.io.IOException
-import java.net.DatagramSocket
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -38,7 +36,7 @@
         freePort(),
         freePort(),
         freePort(),
-        DatagramSocket(0).use { it.localPort },
+        freePort(),
         storeProxy.port
     )
     private val loop = TrafficLoop()
@@ -255,7 +253,7 @@
             "tenants":[{"name":"${SoakChecker.ACCOUNT}","api_keys":["key-1"]}]}"""
     )
 
-    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+    private fun freePort(): Int = EdgeWorld.freePort()
 
     private companion object {
         const val CALLERS = 16
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeWorld.kt
@@ -3,6 +3,7 @@
 import java.net.DatagramSocket
 import java.net.ServerSocket
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -107,6 +108,8 @@
     class Reply(val status: Int, val headers: Map<String, String>, val body: String)
 
     companion object {
+        private const val FIRST_PORT = 12_000
+        private const val LAST_PORT = 32_000
         private val ids = java.util.concurrent.atomic.AtomicLong()
 
         const val ROUTES = """
@@ -126,16 +129,27 @@
               "timeout_ms":5000,"target_latency_ms":400,"priority":0,"service":"model",
               "max_attempts":1,"resumable":false,"gap_target_ms":300}"""
 
-        fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
-        private fun freeUdpPort(): Int = DatagramSocket(0).use { it.localPort }
+        /**
+         * A port that is free now. It lies below the range from which the system takes the ports of
+         * outgoing connections, one of which might take it before it is bound.
+         */
+        fun freePort(): Int = generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }
+            .first(::isFree)
+
+        private fun isFree(port: Int): Boolean = try {
+            ServerSocket(port).close()
+            DatagramSocket(port).close()
+            true
+        } catch (_: java.net.BindException) {
+            false
+        }
 
         fun settings(
             storePort: Int,
             name: String = "edge-1",
             bounds: String = "bounds.retry_slack=56"
         ): HostSettings {
-            val udp = freeUdpPort()
+            val udp = freePort()
             val ports = List(3) { freePort() }
             return HostSettings.parse(
                 """
