Make a start cheaper and serve the callers that are already there

Cause: after a fault that stops the whole fleet, callers connect while processes start. A start read 391 of 3,650 classes from jars; 20 requests were refused because the manifest was 50 to 100 ms away.

Change: the build also rehearses a start of two processes, against a synthetic store and target, so that the archive has the classes of a start (391 from jars before, 81 after, counted with -Xlog:class+load on a local start). The warm-up ends with the first caller's connection. A request waits for the first manifest for as long as a refusal would have told the caller to stay away.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -17,12 +17,15 @@
 private const val ARCHIVE_WARM_UP_REQUESTS = 200
 private const val ARCHIVE_WARM_UP_LIMIT_MS = 20_000L
 
+/** Below the ports that systems assign by themselves; builds may run beside each other. */
+private val rehearsalPorts = 20_000..30_000
+
 /**
  * Runs the process of an entry host with the settings file that the environment variable
  * [HostSettings.FILE_VARIABLE] names.
  *
- * `--check` only validates the settings. `--rehearse` runs a [WarmUp] and exits, so that the
- * build can record the loaded classes in the class-data archive.
+ * `--check` only validates the settings. `--rehearse` runs a [WarmUp] and a [StartRehearsal] and
+ * exits, so that the build can record the loaded classes in the class-data archive.
  *
  * SIGTERM drains and stops the process. SIGHUP reloads the settings; an invalid file changes
  * nothing.
@@ -54,7 +57,10 @@
 }
 
 private fun warmUp() = TrafficLoop().use { traffic ->
-    runBlocking(traffic) { WarmUp(traffic).run(ARCHIVE_WARM_UP_REQUESTS, ARCHIVE_WARM_UP_LIMIT_MS) }
+    runBlocking(traffic) {
+        WarmUp(traffic).run(ARCHIVE_WARM_UP_REQUESTS, ARCHIVE_WARM_UP_LIMIT_MS)
+        StartRehearsal(traffic).run(rehearsalPorts.random())
+    }
 }
 
 private fun readSettings(): HostSettings? {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -2,8 +2,10 @@
 
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -94,6 +96,9 @@
     ) { fleet.hostCount }
     private val isFetchingManifest = AtomicBoolean()
 
+    private val firstManifest = CompletableDeferred<Unit>()
+    private var warmUp: Job? = null
+
     @Volatile
     private var isWarmedUp = false
 
@@ -114,7 +119,8 @@
             ::manifest,
             QuotaLimiterAdapter(control, clock, quotaLimiter, settings.bounds) {
                 scheduler.waitingCount > 0
-            }
+            },
+            awaitManifest = firstManifest::await
         ),
         forwarder,
         { manifest()?.limits ?: CallerLimits() },
@@ -123,6 +129,8 @@
         metrics
     )
     private val callerAcceptor = ConnectionAcceptor(traffic, settings.callerAddress, log) {
+        // Callers that are already here must not share the processor with a rehearsal.
+        warmUp?.cancel()
         CallerSession(CallerConnection(it), sessionDependencies).run()
     }
     private val readinessAcceptor = ConnectionAcceptor(traffic, settings.readinessAddress, log) {
@@ -159,7 +167,10 @@
     public suspend fun start() {
         control.start()
         board.subscribe(BlackboardKeys.targets) { updateTargets() }
-        board.subscribe(BlackboardKeys.manifest) { updateTargets() }
+        board.subscribe(BlackboardKeys.manifest) {
+            updateTargets()
+            firstManifest.complete(Unit)
+        }
         control.post {
             fleet.start()
             control.timers.every(MAINTENANCE_INTERVAL_MS) {
@@ -173,9 +184,12 @@
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
         scope.launch { bootstrapFromPeers() }
-        scope.launch {
-            warmUp()
-            isWarmedUp = true
+        warmUp = scope.launch {
+            try {
+                warmUp()
+            } finally {
+                isWarmedUp = true
+            }
         }
         peers.start()
         readinessAcceptor.start(scope)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -85,7 +85,7 @@
         }
         val dependencies = sessionDependencies(pool, control, scheduler, targetAddress)
         val servers = launch {
-            launchAcceptor(target) { serveAsTarget(it) }
+            launchAcceptor(target) { SyntheticTarget.serve(it) }
             launchAcceptor(entry) { CallerSession(it, dependencies).run() }
         }
         repeat(requestCount) { sendRequest(pool, entry.port, it) }
@@ -139,30 +139,9 @@
         }
     }
 
-    private suspend fun serveAsTarget(connection: CallerConnection) {
-        while (true) {
-            val request = connection.receive() ?: return
-            request.body.readAll(BODY_BYTES)
-            val headers = listOf(
-                Header(
-                    PlatformHeaders.REQUEST_ID,
-                    request.headers[PlatformHeaders.REQUEST_ID].orEmpty()
-                ),
-                Header(PlatformHeaders.SIGNATURE, "rehearsal")
-            )
-            if (request.path.startsWith(STREAM_PATH)) {
-                connection.startResponse(OK, headers)
-                repeat(EVENTS) { connection.sendChunk("id: $it\ndata: x\n\n".encodeToByteArray()) }
-                connection.finishResponse()
-            } else {
-                connection.send(OK, headers, ByteArray(EVENTS))
-            }
-        }
-    }
-
     private suspend fun sendRequest(pool: ConnectionPool, port: Int, index: Int) {
         val connection = pool.acquire(LOOPBACK, port)
-        val path = if (index % 2 == 0) STREAM_PATH else PLAIN_PATH
+        val path = if (index % 2 == 0) SyntheticTarget.STREAM_PATH else PLAIN_PATH
         val headers = listOf(
             Header("Host", HOST),
             Header(PlatformHeaders.REQUEST_ID, "rehearsal-$index"),
@@ -191,11 +170,8 @@
         const val KEY = "rehearsal"
         const val MODEL = "model"
         const val PLAIN = "plain"
-        const val STREAM_PATH = "/stream/"
         const val PLAIN_PATH = "/plain/"
-        const val OK = 200
         const val SLOTS = 4
-        const val EVENTS = 10
         const val BODY_BYTES = 2_000
         const val MAX_RESPONSE_BYTES = 10_000
         const val LIMIT_MS = 5_000L
@@ -204,7 +180,7 @@
         val manifest = Manifest(
             1,
             listOf(
-                route(STREAM_PATH, RouteKind.Streaming(true, LIMIT_MS), MODEL),
+                route(SyntheticTarget.STREAM_PATH, RouteKind.Streaming(true, LIMIT_MS), MODEL),
                 route(PLAIN_PATH, RouteKind.NonIdempotent, PLAIN)
             ),
             mapOf(MODEL to Service(MODEL, "/", SLOTS, Service.Engine(SLOTS, Long.MAX_VALUE))),
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.edge.forwarding.Admission
 import org.bronzetide.edge.forwarding.Call
 import org.bronzetide.http.IncomingRequest
@@ -17,7 +18,9 @@
  */
 internal class AdmissionController(
     private val manifest: () -> Manifest?,
-    private val quotas: AccountQuotas
+    private val quotas: AccountQuotas,
+    /** Waits until there is a manifest. */
+    private val awaitManifest: suspend () -> Unit = {}
 ) {
     private val sequences = AtomicLong()
 
@@ -43,7 +46,7 @@
      * process's monotonic clock.
      */
     suspend fun admit(request: IncomingRequest, body: ByteArray, arrivedAtMs: Long): Admission {
-        val current = manifest()
+        val current = manifest() ?: firstManifest()
             ?: return Admission.Refused(UNAVAILABLE, "no manifest yet", STARTUP_RETRY_AFTER_MS)
         val metadata = RequestMetadata.of(request.headers)
         val host = request.headers["Host"].orEmpty()
@@ -80,6 +83,15 @@
         )
     }
 
+    /**
+     * Waits for the first manifest after a start. It mostly arrives sooner than the caller would
+     * be back after a refusal.
+     */
+    private suspend fun firstManifest(): Manifest? {
+        withTimeoutOrNull(STARTUP_RETRY_AFTER_MS) { awaitManifest() }
+        return manifest()
+    }
+
     private fun createCall(
         request: IncomingRequest,
         body: ByteArray,
