Take process ids and incarnations from no clock

Cause: a process's id was its name with the time of day of its start. A time of day that jumps back around a restart can repeat it, and a smaller incarnation is ignored by peers.

Change: the id has a random part, an incarnation starts at 0. Log lines of the edge also have the steady time.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Member.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Member.kt
@@ -11,7 +11,7 @@
     @CborLabel(2) val zone: String,
     @CborLabel(3) val host: String,
     @CborLabel(4) val peerPort: Int,
-    /** Increases with every start of the node, and whenever the node refutes a suspicion. */
+    /** 0 at the start of the process; increases whenever it refutes a suspicion. */
     @CborLabel(5) val incarnation: Long,
     @CborLabel(6) val state: MemberState,
     /** The processor cores available to the node. Nodes with many are preferred for roles. */
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
@@ -1,15 +1,27 @@
 package org.bronzetide.coordination
 
+import java.security.SecureRandom
 import kotlinx.serialization.Serializable
 
-/**
- * Identifies a node of the cluster. The id contains the start time of the node's process, so it
- * changes with every start.
- */
+/** Identifies a node of the cluster. The id changes with every start of the node's process. */
 @JvmInline
 @Serializable
 public value class NodeId(public val value: String) : Comparable<NodeId> {
     override fun compareTo(other: NodeId): Int = value.compareTo(other.value)
 
     override fun toString(): String = value
+
+    public companion object {
+        private const val RADIX = 36
+        private val random = SecureRandom()
+
+        /**
+         * Returns the id of a process that starts now on the host [name]. Its second part is
+         * random: a time of day that jumps back could make two processes alike.
+         */
+        public fun ofNewProcess(name: String): NodeId {
+            val part = random.nextLong().toULong().toString(RADIX)
+            return NodeId("$name~$part")
+        }
+    }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
@@ -53,7 +53,8 @@
     }
 
     private fun write(level: Level, event: String, fields: List<Pair<String, Any?>>) {
-        var line = log.atLevel(level)
+        // The time of day may jump; this one orders the lines of a host.
+        var line = log.atLevel(level).addKeyValue("steadyMs", clock.nowMs())
         fields.forEach { (name, value) -> if (value != null) line = line.addKeyValue(name, value) }
         line.log(event)
     }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
@@ -46,7 +46,6 @@
 internal class Cluster(
     private val self: NodeId,
     private val settings: Settings,
-    startedAtMs: Long,
     private val clock: MonotonicClock,
     private val control: ControlLoop,
     store: ObjectStore,
@@ -62,8 +61,8 @@
             settings.zone,
             settings.host,
             advertisedPort(),
-            startedAtMs,
-            MemberState.ALIVE
+            incarnation = 0,
+            state = MemberState.ALIVE
         ),
         clock,
         Random(self.hashCode())
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Node.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Node.kt
@@ -42,10 +42,9 @@
 class Node(private val settings: Settings) : AutoCloseable {
     private val log = LoggerFactory.getLogger(Node::class.java)
     private val clock = MonotonicClock.System
-    private val startedAtMs = System.currentTimeMillis()
 
-    /** The name from the settings, with the start time of this process. */
-    val id = NodeId("${settings.name}~${startedAtMs.toString(RADIX)}")
+    /** The name from the settings, with a part of its own for this process. */
+    val id = NodeId.ofNewProcess(settings.name)
 
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlLoop(clock)
@@ -58,7 +57,7 @@
     private val ledger = LedgerWriter(id, store, settings.ledgerFlushMs, settings.ledgerMaxBuffered)
     private val inFlightRequests = InFlightRequests { isReady }
     private val cluster =
-        Cluster(id, settings, startedAtMs, clock, control, store, hostList) { ownLoad() }
+        Cluster(id, settings, clock, control, store, hostList) { ownLoad() }
     private val grants: GrantSource = createGrantSource()
     private val forwarder = RequestForwarder(
         clock,
@@ -204,7 +203,6 @@
     }
 
     private companion object {
-        const val RADIX = 36
         const val DRAIN_POLL_INTERVAL_MS = 20L
         const val LOCAL_EXPIRY_INTERVAL_MS = 20L
     }
