Share the slots of a service among hosts by what each has to send

Cause: each host has its own queue and sees a free slot first if its own request ended, so that in an overload slots stay with the host that has them. Fleets of more than 16 hosts had equal shares, whatever their callers asked for.

Change: hosts report what runs and waits by rank; the aggregator sums it; a host takes a slot only within its share of the ranks up to the request's. This replaces the equal shares; their test gives the demand of the other hosts now, with its bound as it was.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -42,16 +42,16 @@
         val onNewerManifest: (String) -> Unit
     )
 
-    private val self = NodeId("${settings.nodeName}~${System.currentTimeMillis().toString(RADIX)}")
+    private val self = NodeId.ofNewProcess(settings.nodeName)
     private val membership = Membership(
         Member(
             self,
             settings.availabilityZone,
             settings.ip,
             settings.peerPorts.first,
-            System.currentTimeMillis(),
-            MemberState.ALIVE,
-            settings.cpuCores
+            incarnation = 0,
+            state = MemberState.ALIVE,
+            cpuCores = settings.cpuCores
         ),
         clock,
         Random.Default
@@ -196,7 +196,8 @@
             quotas.ownTotals().toMap(),
             quotas.ownTotalsAtLastUpdate(),
             scheduler.suspects(nowMs),
-            if (includesSlowdowns) scheduler.ownSlowdowns() else emptyMap()
+            if (includesSlowdowns) scheduler.ownSlowdowns() else emptyMap(),
+            scheduler.ownDemands(nowMs)
         )
         when {
             chosen == null -> Unit
@@ -236,6 +237,7 @@
                 "ms" to nowMs - lastUpdateAtMs
             )
             scheduler.updatePeerLoads(emptyMap())
+            scheduler.updatePeerDemands(emptyMap())
             scheduler.updatePeerSuspects(emptySet())
         }
     }
@@ -262,7 +264,8 @@
             summary.hostCount,
             summary.suspects.toList(),
             slowdowns.map { PeerMessage.Slowdown(it.key, (it.value * PERCENT).toInt()) },
-            aggregator.ageMs(clock.nowMs())
+            aggregator.ageMs(clock.nowMs()),
+            summary.demands.toDemandMessages()
         )
         if (host == self.value) return onSummary(message)
         membership.find(NodeId(host))?.let { env.send(addressOf(it.host), message) }
@@ -277,7 +280,8 @@
             message.suspects.toSet(),
             message.slowdowns.associate {
                 it.target to LoadReport.Slowdown(it.percent / PERCENT, it.samples)
-            }
+            },
+            message.demands.toDemands()
         )
         aggregator.onReport(report, clock.nowMs())
         // Hosts that have chosen this one are served even if it has chosen another aggregator.
@@ -303,6 +307,7 @@
         quotas.onPeerTotals(message.aggregator, quotaTotals, nowMs, message.aggregatorAgeMs)
         quotas.propagationDelayMs = exchangeIntervalMs() * UPDATE_INTERVALS
         scheduler.updatePeerLoads(message.loads.toLoads())
+        scheduler.updatePeerDemands(message.demands.toDemands())
         scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.updateFleetSlowdowns(
             message.slowdowns.associate { it.target to it.percent / PERCENT }
@@ -320,7 +325,8 @@
         report.suspects.toList(),
         report.slowdowns.map { (target, slowdown) ->
             PeerMessage.Slowdown(target, (slowdown.factor * PERCENT).toInt(), slowdown.samples)
-        }
+        },
+        report.demands.toDemandMessages()
     )
 
     private fun Map<String, FleetScheduler.PeerLoad>.toMessages() =
@@ -329,13 +335,20 @@
     private fun List<PeerMessage.Load>.toLoads() =
         associate { it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens) }
 
+    private fun Map<String, Map<Int, Int>>.toDemandMessages() = flatMap { (service, byRank) ->
+        byRank.map { (rank, count) -> PeerMessage.Demand(service, rank, count) }
+    }
+
+    private fun List<PeerMessage.Demand>.toDemands(): Map<String, Map<Int, Int>> =
+        groupBy { it.service }
+            .mapValues { (_, demands) -> demands.associate { it.rank to it.count } }
+
     private fun quotaMessages(totals: Map<String, Long>) =
         totals.map { PeerMessage.QuotaTotal(it.key, it.value) }
 
     private fun addressOf(ip: String) = SocketAddress(ip, settings.peerPorts.first)
 
     private companion object {
-        const val RADIX = 36
         const val PROBE_INTERVAL_MS = 500L
 
         /** Bounds the age of peers' loads; shorter than most requests take. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -28,7 +28,8 @@
         @CborLabel(2) val loads: List<Load>,
         @CborLabel(3) val quotas: List<QuotaTotal>,
         @CborLabel(4) val suspects: List<String> = emptyList(),
-        @CborLabel(5) val slowdowns: List<Slowdown> = emptyList()
+        @CborLabel(5) val slowdowns: List<Slowdown> = emptyList(),
+        @CborLabel(6) val demands: List<Demand> = emptyList()
     ) : PeerMessage()
 
     /** The summed loads of all hosts but the receiver, sent by the aggregator. */
@@ -42,7 +43,8 @@
         @CborLabel(5) val suspects: List<String> = emptyList(),
         @CborLabel(6) val slowdowns: List<Slowdown> = emptyList(),
         /** How long the aggregator has summed reports, in milliseconds. */
-        @CborLabel(7) val aggregatorAgeMs: Long = Long.MAX_VALUE
+        @CborLabel(7) val aggregatorAgeMs: Long = Long.MAX_VALUE,
+        @CborLabel(8) val demands: List<Demand> = emptyList()
     ) : PeerMessage()
 
     /** The requests in progress at a target. */
@@ -53,6 +55,14 @@
         @CborLabel(3) val promptTokens: Long
     )
 
+    /** The requests of [rank] for [service] that run or wait. */
+    @Serializable
+    data class Demand(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val rank: Int,
+        @CborLabel(3) val count: Int
+    )
+
     /** How long a target takes relative to the usual time, in percent. */
     @Serializable
     data class Slowdown(
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -16,6 +16,10 @@
     private val waiting = WaitingQueue(::expectedMs)
     private val running = HashMap<Long, Run>()
     private val sendRates = HashMap<String, SendRate>()
+    private var peerDemands: Map<String, Map<Int, Int>> = emptyMap()
+
+    /** Decides whether a fraction of a slot counts as a whole one; differs between hosts. */
+    private var shareRounding = random.nextDouble()
 
     /**
      * The number of hosts that send to the same targets, including this one. With more hosts, the
@@ -53,6 +57,20 @@
     public fun ownLoads(): Map<String, PeerLoad> = targets.filterValues { it.ownCount > 0 }
         .mapValues { PeerLoad(it.value.ownCount, it.value.ownPromptTokens) }
 
+    /**
+     * The requests of this host that run or wait, by service and rank, to report to the other
+     * hosts. The lowest rank is the most urgent.
+     */
+    public fun ownDemands(nowMs: Long): Map<String, Map<Int, Int>> =
+        targets.values.map { it.spec.service }.distinct()
+            .associateWith { ownDemand(it, nowMs) }.filterValues { it.isNotEmpty() }
+
+    /** Replaces the demands of all other hosts together, by service and rank. */
+    public fun updatePeerDemands(demands: Map<String, Map<Int, Int>>) {
+        peerDemands = demands
+        shareRounding = random.nextDouble()
+    }
+
     /** The slowdowns of targets as learned by this host, to report to the other hosts. */
     public fun ownSlowdowns(): Map<String, LoadReport.Slowdown> =
         targets.entries.mapNotNull { (id, load) ->
@@ -120,11 +138,12 @@
         if (waiting.size == 0) return
         val ahead = HashMap<String, Int>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
-        for (entry in waiting.inDispatchOrder(nowMs)) {
-            val decision = decisionFor(entry.ticket, ahead, nowMs) ?: continue
-            waiting.remove(entry.ticket.sequence)
-            if (decision is FleetDecision.Send) start(entry.ticket, decision.targetId, nowMs)
-            decided += entry to decision
+        for (ranked in waiting.inDispatchOrder(nowMs)) {
+            val ticket = ranked.entry.ticket
+            val decision = decisionFor(ticket, ranked.rank, ahead, nowMs) ?: continue
+            waiting.remove(ticket.sequence)
+            if (decision is FleetDecision.Send) start(ranked, decision.targetId, nowMs)
+            decided += ranked.entry to decision
         }
         decided.forEach { (entry, decision) -> entry.onDecision(decision) }
     }
@@ -159,6 +178,7 @@
      */
     private fun decisionFor(
         ticket: FleetTicket,
+        rank: Int,
         ahead: MutableMap<String, Int>,
         nowMs: Long
     ): FleetDecision? {
@@ -167,7 +187,7 @@
         }
         val position = ahead[ticket.service]
         if (position == null) {
-            val best = choose(ticket, nowMs)
+            val best = choose(ticket, rank, nowMs)
             if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket))
         } else if (!mayStartInTime(ticket, position, nowMs)) {
             return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket))
@@ -183,24 +203,29 @@
         return position <= rate.expectedSends(ticket.startByMs - nowMs, nowMs) * SEND_RATE_MARGIN
     }
 
-    private fun choose(ticket: FleetTicket, nowMs: Long): TargetLoad? {
+    private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
         val all = usable(ticket.service, nowMs)
-        if (exceedsOwnShare(all)) return null
+        if (usesOwnShare(ticket.service, rank, all.sumOf { it.spec.slots }, nowMs)) return null
         val candidates = all.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
         return sampleOf(unsuspected).minByOrNull { score(it, ticket) }
     }
 
-    /**
-     * Whether this host uses more than its share of the slots while few are free. Many hosts that
-     * see the same last free slot would all take it.
-     */
-    private fun exceedsOwnShare(all: List<TargetLoad>): Boolean {
-        if (hostCount <= MAX_SMALL_FLEET_HOSTS) return false
-        val slots = all.sumOf { it.spec.slots }
-        val isScarce = all.sumOf { minOf(it.count, it.spec.slots) } > slots * SCARCITY_OCCUPANCY
-        return isScarce && all.sumOf { it.ownCount } > slots * OWN_SHARE_MARGIN / hostCount + 1
+    /** Whether this host already uses its share of [slots] for requests of [rank] and lower. */
+    private fun usesOwnShare(service: String, rank: Int, slots: Int, nowMs: Long): Boolean {
+        val peers = peerDemands[service] ?: return false
+        val share = SlotShares(slots, ownDemand(service, nowMs), peers).upTo(rank)
+        val used = running.values.count { it.ticket.service == service && it.rank <= rank }
+        return used + 1 > share + SHARE_MARGIN_SLOTS + shareRounding
+    }
+
+    private fun ownDemand(service: String, nowMs: Long): Map<Int, Int> {
+        val demand = HashMap(waiting.countByRank(service, nowMs))
+        running.values.forEach {
+            if (it.ticket.service == service) demand.merge(it.rank, 1, Int::plus)
+        }
+        return demand
     }
 
     /** A random sample if there are many hosts, which would else all choose the same target. */
@@ -251,11 +276,12 @@
         return (ejected + 1) * MAX_EJECTED_DIVISOR <= all.size
     }
 
-    private fun start(ticket: FleetTicket, targetId: String, nowMs: Long) {
+    private fun start(ranked: WaitingQueue.RankedEntry, targetId: String, nowMs: Long) {
+        val ticket = ranked.entry.ticket
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
         sendRates.getOrPut(ticket.service) { SendRate() }.onSend(nowMs)
-        running[ticket.sequence] = Run(ticket, load, nowMs, load.promptTokens)
+        running[ticket.sequence] = Run(ticket, ranked.rank, load, nowMs, load.promptTokens)
     }
 
     private fun retryAfterMs(ticket: FleetTicket): Long {
@@ -287,6 +313,8 @@
 
     private class Run(
         val ticket: FleetTicket,
+        /** The rank of the ticket in the queue when it was sent. */
+        val rank: Int,
         val load: TargetLoad,
         val sentAtMs: Long,
         /** The prompt tokens to be read at the target, including those of this run. */
@@ -305,8 +333,9 @@
         /** Up to this many hosts, known loads are recent enough to choose the best target. */
         const val MAX_SMALL_FLEET_HOSTS = 16
         const val SAMPLE_SIZE = 4
-        const val SCARCITY_OCCUPANCY = 0.8
-        const val OWN_SHARE_MARGIN = 1.2
+
+        /** Lets a host that holds its share use a slot that no host with a smaller one takes. */
+        const val SHARE_MARGIN_SLOTS = 0.5
         const val OTHER_ZONE_MS = 2.0
         const val TIE_BREAK_JITTER = 0.1
         const val OUTPUT_WEIGHT = 0.2
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -12,7 +12,9 @@
     /** The targets that are ejected on it. */
     val suspects: Set<String> = emptySet(),
     /** The slowdowns of targets as learned by it; mostly omitted, as they change slowly. */
-    val slowdowns: Map<String, Slowdown> = emptyMap()
+    val slowdowns: Map<String, Slowdown> = emptyMap(),
+    /** Its requests that run or wait, by service and rank. */
+    val demands: Map<String, Map<Int, Int>> = emptyMap()
 ) {
     /** How many times longer than usual a target takes, averaged over [samples] responses. */
     public data class Slowdown(val factor: Double, val samples: Int)
@@ -25,7 +27,9 @@
     /** The targets that are suspected by at least two other hosts, or by the only other one. */
     val suspects: Set<String>,
     /** The number of hosts that have reported, including the receiver. */
-    val hostCount: Int
+    val hostCount: Int,
+    /** The requests that run or wait, by service and rank. */
+    val demands: Map<String, Map<Int, Int>> = emptyMap()
 )
 
 /**
@@ -104,7 +108,18 @@
         val suspects = counts.filterValues { it >= minSuspecting }.keys.toSet()
         val own = quotaUse[receiver]?.counted.orEmpty()
         val totals = quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
-        return LoadSummary(loads, totals, suspects, reports.size)
+        return LoadSummary(loads, totals, suspects, reports.size, demandsWithout(receiver))
+    }
+
+    private fun demandsWithout(receiver: String): Map<String, Map<Int, Int>> {
+        val demands = HashMap<String, HashMap<Int, Int>>()
+        reports.filterKeys { it != receiver }.values.forEach { received ->
+            received.report.demands.forEach { (service, byRank) ->
+                val sums = demands.getOrPut(service) { HashMap() }
+                byRank.forEach { (rank, count) -> sums.merge(rank, count, Int::plus) }
+            }
+        }
+        return demands
     }
 
     private fun restart(nowMs: Long) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -31,10 +31,15 @@
     fun countAtLeastAsUrgent(priority: Int): Int =
         entries.values.count { it.ticket.priority <= priority }
 
+    /** The number of waiting requests of [service] by rank. */
+    fun countByRank(service: String, nowMs: Long): Map<Int, Int> =
+        entries.values.filter { it.ticket.service == service }
+            .groupingBy { withRank(it, nowMs).rank }.eachCount()
+
     /** The waiting requests in the order in which they should be sent at [nowMs]. */
-    fun inDispatchOrder(nowMs: Long): List<Entry> {
-        if (entries.size == 1) return entries.values.toList()
+    fun inDispatchOrder(nowMs: Long): List<RankedEntry> {
         val ranked = entries.values.map { withRank(it, nowMs) }
+        if (ranked.size == 1) return ranked
         val overloaded = ranked.filter { it.isLate }.mapTo(HashSet()) { it.entry.ticket.service }
         return ranked.sortedWith(
             compareBy<RankedEntry> { it.rank }.thenBy { it.isLate }.thenBy {
@@ -42,7 +47,7 @@
                 val isNewestFirst = !it.isLate && ticket.service in overloaded
                 if (isNewestFirst) -ticket.sequence else ticket.sequence
             }
-        ).map { it.entry }
+        )
     }
 
     private fun withRank(entry: Entry, nowMs: Long): RankedEntry {
@@ -56,7 +61,11 @@
     /** A waiting request and the receiver of its decision. */
     class Entry(val ticket: FleetTicket, val onDecision: (FleetDecision) -> Unit)
 
-    private class RankedEntry(val entry: Entry, val rank: Int, val isLate: Boolean)
+    /**
+     * A waiting request with its rank: its priority, or a greater number if it is late and yields
+     * to all that can be on time.
+     */
+    class RankedEntry(val entry: Entry, val rank: Int, val isLate: Boolean)
 
     private companion object {
         /** Greater than any priority. */
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -91,6 +91,7 @@
         scheduler.hostCount = 64
         scheduler.updateTargets((1..40).map { target("t$it", slots = 10) })
         scheduler.updatePeerLoads((1..40).associate { "t$it" to FleetScheduler.PeerLoad(9, 0) })
+        scheduler.updatePeerDemands(mapOf("model" to mapOf(1 to 63 * 25)))
         (1L..30L).forEach { enroll(it) }
         assertThat(sent).hasSizeBetween(7, 9)
     }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
@@ -54,5 +54,5 @@
         service: String = "model"
     ) = queue.add(FleetTicket(sequence, service, priority, 500, 50, dueAtMs, startByMs)) {}
 
-    private fun order(nowMs: Long) = queue.inDispatchOrder(nowMs).map { it.ticket.sequence }
+    private fun order(nowMs: Long) = queue.inDispatchOrder(nowMs).map { it.entry.ticket.sequence }
 }
