Read what targets say of their load

Cause: responses carry the exact number of requests at the target, and how slow its host is at the moment; none of it was read.

Own observations only; sharing them between hosts is not built.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -161,7 +161,7 @@
                 target,
                 state.relay,
                 stallPolicy(state, decision.firstEventMs)
-            )
+            ) { scheduler.onReportedLoad(state.ticketSequence, it) }
             outcome = attempt.outcome
             msPerEvent = attempt.msPerEvent
             state.isInFlight = false
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.platform.fleet.ReportedLoad
 import org.bronzetide.scheduling.fleet.FleetDecision
 import org.bronzetide.scheduling.fleet.FleetOutcome
 import org.bronzetide.scheduling.fleet.FleetScheduler
@@ -49,6 +50,13 @@
         control.post { scheduler.onFirstEvent(sequence, nowMs) }
     }
 
+    /** Reports what the target of the ticket with [sequence] said about its load. */
+    fun onReportedLoad(sequence: Long, load: ReportedLoad) {
+        val nowMs = clock.nowMs()
+        val inProgress = load.runningCount + load.waitingCount
+        control.post { scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs) }
+    }
+
     /** Reports the average milliseconds between the first events for the ticket with [sequence]. */
     fun onEventInterval(sequence: Long, msPerEvent: Double) =
         control.post { scheduler.onEventInterval(sequence, msPerEvent) }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -8,6 +8,7 @@
 import org.bronzetide.http.IncomingResponse
 import org.bronzetide.http.OutgoingRequest
 import org.bronzetide.platform.fleet.PlatformHeaders
+import org.bronzetide.platform.fleet.ReportedLoad
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
 import org.bronzetide.scheduling.fleet.FleetOutcome
@@ -27,13 +28,14 @@
 
     /**
      * Sends [call] to [target]. If [relay] has already relayed events, the stream is resumed after
-     * the last of them.
+     * the last of them. [onLoad] gets what the target says about its load.
      */
     suspend fun send(
         call: Call,
         target: TargetEntry,
         relay: StreamRelay,
-        stallPolicy: StallPolicy
+        stallPolicy: StallPolicy,
+        onLoad: (ReportedLoad) -> Unit
     ): Attempt {
         val connection = try {
             connect(call, target)
@@ -49,6 +51,7 @@
         try {
             connection.send(outgoing(call, target, relay))
             val response = receiveMatching(call, connection, stallPolicy)
+            ReportedLoad.of(response.headers)?.let(onLoad)
             val attempt = read(call, response, relay, stallPolicy)
             if (response.body.isComplete && !mayHaveUnreadBody(call, response)) {
                 pool.release(target.address.host, target.address.port, connection, response)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -306,7 +306,7 @@
         val quotaTotals = message.quotas.associate { it.account to it.units }
         quotas.onPeerTotals(message.aggregator, quotaTotals, nowMs, message.aggregatorAgeMs)
         quotas.propagationDelayMs = exchangeIntervalMs() * UPDATE_INTERVALS
-        scheduler.updatePeerLoads(message.loads.toLoads())
+        scheduler.updatePeerLoads(message.loads.toLoads(), nowMs, exchangeIntervalMs())
         scheduler.updatePeerDemands(message.demands.toDemands())
         scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.updateFleetSlowdowns(
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
@@ -21,8 +21,8 @@
         private set
 
     /** The predicted time to the first event on the target of [load], in milliseconds. */
-    fun firstEventMs(load: TargetLoad, promptTokens: Int): Double =
-        load.slowdown.current * (fixedMs + (load.promptTokens + promptTokens) * msPerPromptToken)
+    fun firstEventMs(load: TargetLoad, promptTokens: Int, nowMs: Long): Double =
+        load.slowdownAt(nowMs) * (fixedMs + (load.promptTokens + promptTokens) * msPerPromptToken)
 
     /** The predicted time to the first event if no other prompt is read, in milliseconds. */
     fun unloadedFirstEventMs(promptTokens: Int): Double = fixedMs + promptTokens * msPerPromptToken
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -45,12 +45,19 @@
         }
     }
 
-    /** Replaces the loads of the other hosts on each target. */
-    public fun updatePeerLoads(loads: Map<String, PeerLoad>) {
-        targets.forEach { (id, load) ->
-            load.peerCount = loads[id]?.count ?: 0
-            load.peerPromptTokens = loads[id]?.promptTokens ?: 0
-        }
+    /**
+     * Replaces the loads of the other hosts on each target. They were counted [ageMs] milliseconds
+     * before [nowMs]; what a target itself has said since then is kept.
+     */
+    public fun updatePeerLoads(loads: Map<String, PeerLoad>, nowMs: Long = 0, ageMs: Long = 0): Unit =
+        targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
+
+    /**
+     * Records what the target of a ticket that was sent says of itself: the requests in progress
+     * from all hosts, and its momentary [slowdown], or `null` if it does not tell.
+     */
+    public fun onReportedLoad(sequence: Long, inProgress: Int, slowdown: Double?, nowMs: Long) {
+        running[sequence]?.load?.onReported(inProgress, slowdown, nowMs)
     }
 
     /** The load of this host on each target, to report to the other hosts. */
@@ -188,7 +195,7 @@
         val position = ahead[ticket.service]
         if (position == null) {
             val best = choose(ticket, rank, nowMs)
-            if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket))
+            if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket, nowMs))
         } else if (!mayStartInTime(ticket, position, nowMs)) {
             return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket))
         }
@@ -209,7 +216,7 @@
         val candidates = all.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
-        return sampleOf(unsuspected).minByOrNull { score(it, ticket) }
+        return sampleOf(unsuspected).minByOrNull { score(it, ticket, nowMs) }
     }
 
     /** Whether this host already uses its share of [slots] for requests of [rank] and lower. */
@@ -243,19 +250,22 @@
         responseTimes[ticket.service]?.expectedMs ?: 0
     }
 
-    private fun firstEventMs(load: TargetLoad, ticket: FleetTicket): Long =
-        if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens).toLong() else 0
+    private fun firstEventMs(load: TargetLoad, ticket: FleetTicket, nowMs: Long): Long =
+        if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens, nowMs).toLong() else 0
 
     /**
      * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
-     * otherwise the occupancy. Random jitter breaks ties.
+     * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
      */
-    private fun score(load: TargetLoad, ticket: FleetTicket): Double {
+    private fun score(load: TargetLoad, ticket: FleetTicket, nowMs: Long): Double {
         val otherZoneMs = if (load.spec.availabilityZone == zone) 0.0 else OTHER_ZONE_MS
         val occupancy = load.count.toDouble() / load.spec.slots
-        if (!load.spec.isEngine) return occupancy + random.nextDouble() * TIE_BREAK_JITTER
+        if (!load.spec.isEngine) {
+            val withThisOne = (load.count + 1.0) / load.spec.slots
+            return withThisOne * load.slowdownAt(nowMs) + random.nextDouble() * TIE_BREAK_JITTER
+        }
         val outputMs = ticket.expectedEvents * engine.msPerEvent * load.slowdown.current
-        val predictedMs = engine.firstEventMs(load, ticket.promptTokens) +
+        val predictedMs = engine.firstEventMs(load, ticket.promptTokens, nowMs) +
             outputMs * OUTPUT_WEIGHT * (1 + occupancy) + otherZoneMs
         return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -10,9 +10,12 @@
     var ownPromptTokens = 0L
         private set
 
-    /** The same for the other hosts, as of the last update. */
+    /** The same for the other hosts, as last known. */
     var peerCount = 0
+        private set
     var peerPromptTokens = 0L
+        private set
+    private var countReportedAtMs = Long.MIN_VALUE
 
     /** Whether the target failed on other hosts recently. */
     var isSuspectedByPeers = false
@@ -20,6 +23,7 @@
     /** How many times longer than usual the target takes, learned from its event intervals. */
     val slowdown = SlowdownEstimator()
 
+    private val momentarySlowdown = MomentarySlowdown()
     private val health = TargetHealth()
 
     /** The time until which the target is ejected, in milliseconds. */
@@ -28,6 +32,23 @@
     val count: Int get() = ownCount + peerCount
     val promptTokens: Long get() = ownPromptTokens + peerPromptTokens
 
+    /** The factor by which work takes longer than usual at [nowMs]: as learned, and as told. */
+    fun slowdownAt(nowMs: Long): Double = slowdown.current * momentarySlowdown.at(nowMs)
+
+    /** Updates the load of the other hosts with [load], which was counted [ageMs] ms ago. */
+    fun updatePeerLoad(load: FleetScheduler.PeerLoad?, nowMs: Long, ageMs: Long) {
+        peerPromptTokens = load?.promptTokens ?: 0
+        val isReportNewer = countReportedAtMs > nowMs - ageMs
+        if (!isReportNewer) peerCount = load?.count ?: 0
+    }
+
+    /** Records that the target said it has [inProgress] requests, and its [slowdown] if known. */
+    fun onReported(inProgress: Int, slowdown: Double?, nowMs: Long) {
+        peerCount = (inProgress - ownCount).coerceIn(0, spec.slots * MAX_PEERS_PER_SLOT)
+        countReportedAtMs = nowMs
+        slowdown?.let { momentarySlowdown.update(it, nowMs) }
+    }
+
     fun start(promptTokens: Int) {
         ownCount++
         ownPromptTokens += promptTokens
@@ -45,4 +66,9 @@
     fun onOutcome(outcome: FleetOutcome, nowMs: Long, mayEject: () -> Boolean) {
         if (health.onOutcome(outcome) && mayEject()) health.eject(nowMs)
     }
+
+    private companion object {
+        /** Bounds the effect of a target that exaggerates. */
+        const val MAX_PEERS_PER_SLOT = 3
+    }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -131,6 +131,39 @@
         assertThat(scheduler.ownSlowdowns().getValue("t1").factor).isGreaterThan(4.0)
     }
 
+    /** The count of a response is newer than reports that are half a second old. */
+    @Example
+    fun exactCountOfAResponseCorrectsOldReportsOfPeers() {
+        scheduler.updateTargets(listOf(target("t1", slots = 4), target("t2", slots = 4)))
+        val full = mapOf("t2" to FleetScheduler.PeerLoad(4, 0))
+        scheduler.updatePeerLoads(full, nowMs = 0, ageMs = 500)
+        enroll(1)
+        scheduler.onReportedLoad(1, inProgress = 4, slowdown = null, nowMs = 100)
+        scheduler.updatePeerLoads(emptyMap(), nowMs = 200, ageMs = 500)
+        (2L..5L).forEach { enroll(it) }
+        assertThat(sent.filterKeys { it > 1 }.values)
+            .allMatch { it is FleetDecision.Send && it.targetId == "t2" }
+        scheduler.updatePeerLoads(emptyMap(), nowMs = 700, ageMs = 500)
+        enroll(6)
+        assertThat(sent[6]).isInstanceOf(FleetDecision.Send::class.java)
+    }
+
+    /** Other programs on a target's host slow it down for some hundred milliseconds. */
+    @Example
+    fun targetThatSaysItIsSlowIsAvoidedForAMoment() {
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        enroll(1)
+        val slow = (sent.getValue(1) as FleetDecision.Send).targetId
+        scheduler.onReportedLoad(1, inProgress = 1, slowdown = 6.0, nowMs = 0)
+        scheduler.release(1, FleetOutcome.ANSWERED, 0)
+        (2L..4L).forEach { enroll(it) }
+        assertThat((2L..4L).map { sent.getValue(it) })
+            .noneMatch { it is FleetDecision.Send && it.targetId == slow }
+        (5L..8L).forEach { scheduler.enroll(ticket(it, 1, 20_000), 5_000) { d -> sent[it] = d } }
+        assertThat((5L..8L).map { sent.getValue(it) })
+            .anyMatch { it is FleetDecision.Send && it.targetId == slow }
+    }
+
     @Example
     fun withdrawnRequestIsNeverSent() {
         scheduler.updateTargets(listOf(target("t1", slots = 1)))
