--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
@@ -1,6 +1,6 @@
 package org.bronzetide.coordination
 
-import java.security.SecureRandom
+import kotlin.random.Random
 import kotlinx.serialization.Serializable
 
 /** Identifies a node of the cluster. The id changes with every start of the node's process. */
@@ -13,14 +13,13 @@
 
     public companion object {
         private const val RADIX = 36
-        private val random = SecureRandom()
 
         /**
          * Returns the id of a process that starts now on the host [name]. Its second part is
          * random: a time of day that jumps back could make two processes alike.
          */
         public fun ofNewProcess(name: String): NodeId {
-            val part = random.nextLong().toULong().toString(RADIX)
+            val part = Random.nextLong().toULong().toString(RADIX)
             return NodeId("$name~$part")
         }
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -250,8 +250,10 @@
 
     private fun readinessResponse() = ControlServer.Response(if (isReady) OK else UNAVAILABLE)
 
-    private suspend fun watchStore(kind: String, observer: StoreWatcher.Observer) =
-        StoreWatcher(kind, store, clock, log, metrics, observer).run()
+    private suspend fun watchStore(kind: String, observer: StoreWatcher.Observer) {
+        val watchMs = StoreWatcher.watchMsWithin(settings.bounds)
+        StoreWatcher(kind, store, clock, log, metrics, watchMs, observer).run()
+    }
 
     private fun statusPage() = StatusPage(
         settings.nodeName,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
@@ -10,6 +10,7 @@
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.platform.fleet.Changes
 import org.bronzetide.platform.fleet.FleetStore
+import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.Listing
 import org.bronzetide.platform.fleet.StoreResult
 
@@ -25,6 +26,8 @@
     private val clock: MonotonicClock,
     private val log: DecisionLog,
     private val metrics: EdgeMetrics,
+    /** How long one watch waits for changes, in milliseconds; see [watchMsWithin]. */
+    private val watchMs: Long,
     private val observer: Observer
 ) {
     private var failingSinceMs: Long? = null
@@ -73,7 +76,7 @@
         var failures = 0
         while (true) {
             // A watch that begins in an outage may hang for its full wait after the outage ends.
-            val waitMs = if (failures == 0) WATCH_MS else OUTAGE_WATCH_MS
+            val waitMs = if (failures == 0) watchMs else OUTAGE_WATCH_MS
             when (val result = store.watch(kind, revision, waitMs)) {
                 is StoreResult.Done -> {
                     onSuccess()
@@ -127,19 +130,31 @@
         delay(waitMs + Random.nextLong(waitMs))
     }
 
-    private companion object {
-        /** Limits how long an unresponsive watch delays drains and manifests, which have bounds. */
-        const val WATCH_MS = 3_000L
+    companion object {
+        /**
+         * Returns the longest wait of a watch that keeps [bounds] although its connection may go
+         * silent: a host is excused until it has been free of faults for the stabilization time,
+         * and must then apply changes within their bounds.
+         */
+        fun watchMsWithin(bounds: HostSettings.Bounds): Long {
+            val applyMs = minOf(bounds.targetDrainMs, bounds.manifestApplyMs)
+            return maxOf(MIN_WATCH_MS, bounds.stabilizationMs + applyMs - WATCH_MARGIN_MS)
+        }
+
+        private const val MIN_WATCH_MS = 2_000L
+
+        /** For the timeout of the silent call and for the calls that follow it. */
+        private const val WATCH_MARGIN_MS = 2_000L
 
         /** The store's recovery is noticed within 2.5 s: 1.2 s of back-off and 1.2 s of a call. */
-        const val OUTAGE_WATCH_MS = 200L
+        private const val OUTAGE_WATCH_MS = 200L
 
         /** Well below 2 s, the bound on drains and on manifests. */
-        const val BURST_DELAY_MS = 400L
-        const val RETRY_MS = 150L
+        private const val BURST_DELAY_MS = 400L
+        private const val RETRY_MS = 150L
 
         /** Back-off stays below 1.2 s, as the bounds apply again 3 s after an outage. */
-        const val MAX_DOUBLINGS = 2
-        const val FAILURES_TO_RELIST = 2
+        private const val MAX_DOUBLINGS = 2
+        private const val FAILURES_TO_RELIST = 2
     }
 }
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreWatcherTest.kt
@@ -0,0 +1,32 @@
+package org.bronzetide.edge.state
+
+import net.jqwik.api.Example
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.platform.fleet.FleetStore
+
+/** How often the hosts of a large fleet call the store, and how late a silent call is noticed. */
+class StoreWatcherTest {
+    @Example
+    fun silentWatchIsNoticedWithinTheBoundsOfEachDeployment() {
+        listOf(3_000L to 2_000L, 4_000L to 3_000L, 5_000L to 4_000L)
+            .forEach { (stableMs, applyMs) ->
+                val noticedMs = watchMs(stableMs, applyMs) + FleetStore.DEFAULT_TIMEOUT_MS
+                assertThat(noticedMs).isLessThan(stableMs + applyMs)
+            }
+    }
+
+    @Example
+    fun hostsOfLargeDeploymentsCallTheStoreLessOften() {
+        assertThat(watchMs(5_000, 4_000)).isGreaterThan(2 * watchMs(3_000, 2_000))
+    }
+
+    private fun watchMs(stableMs: Long, applyMs: Long): Long {
+        val bounds = EdgeTestEnvironment.settings(1, "host").bounds.copy(
+            stabilizationMs = stableMs,
+            manifestApplyMs = applyMs,
+            targetDrainMs = applyMs
+        )
+        return StoreWatcher.watchMsWithin(bounds)
+    }
+}
