Refuse late requests at once in an overload, say when to return, and share recent slowdowns

Cause 1: in a burst, requests that could no longer be on time waited up to 1.8 s for a place that went to those that arrived later, and heard their refusal only then; callers refused early were told to return after some 0.5 s, in the middle of the same burst, and were refused for good. Change 1: a late request is refused at once while arrivals exceed sends. The time to return grows with the age of the overload, twice of it, and stays within a third of the caller's time.

Cause 2: the slowdown of a target was averaged over the last ten samples of each host; 90 hosts need more than a minute for that, so that a target that turns slow stays hidden. Change 2: hosts report the samples since their last report, the aggregator averages the last 20 of all hosts, and a host's own old samples lose weight.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -106,7 +106,8 @@
             call.expectedEvents,
             dueAtMs = call.dueAtMs,
             startByMs = startByMs(state),
-            state.avoid.toSet()
+            state.avoid.toSet(),
+            maxRetryAfterMs = (call.deadlineAtMs - clock.nowMs()) / RETRY_AFTER_DIVISOR
         )
         return scheduler.awaitDecision(ticket)
     }
@@ -283,6 +284,9 @@
         private const val UNAVAILABLE = 503
         private const val GATEWAY_TIMEOUT = 504
         private const val MAX_SENDS = 4
+
+        /** Callers return within a third of the time that they have left. */
+        private const val RETRY_AFTER_DIVISOR = 3
         private const val DEFAULT_RETRY_AFTER_MS = 300L
 
         // Callers abandon a stream after the longest of these times without an event.
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -162,7 +162,7 @@
     private fun exchangeIntervalMs(): Long =
         maxOf(MIN_EXCHANGE_INTERVAL_MS, (hostCount * EXCHANGE_INTERVAL_MS_PER_HOST).toLong())
 
-    /** Slowdowns change slowly, so only some of the exchanges include them. */
+    /** The averages of all targets are large, so only some of the summaries include them. */
     private val includesSlowdowns: Boolean get() = exchangeCount % SLOWDOWN_INTERVALS == 0L
 
     /**
@@ -196,7 +196,7 @@
             quotas.ownTotals().toMap(),
             quotas.ownTotalsAtLastUpdate(),
             scheduler.suspects(nowMs),
-            if (includesSlowdowns) scheduler.ownSlowdowns() else emptyMap(),
+            scheduler.takeObservedSlowdowns(),
             scheduler.ownDemands(nowMs)
         )
         when {
@@ -361,8 +361,8 @@
         /** Below 1, as hosts that consider this one dead grant its share themselves. */
         const val ISOLATED_QUOTA_SHARE = 0.5
 
-        /** Slowdowns of 50 targets take about 1 KB; with 80 hosts they are sent once a second. */
-        const val SLOWDOWN_INTERVALS = 5
+        /** Slowdowns of 50 targets take about 1 KB; with 80 hosts they are sent every 0.4 s. */
+        const val SLOWDOWN_INTERVALS = 2
         const val PERCENT = 100.0
 
         /** An update waits for a report and then for the summary; one of them may be lost. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -15,7 +15,9 @@
     private val responseTimes = HashMap<String, ResponseTimeEstimator>()
     private val waiting = WaitingQueue(::expectedMs)
     private val running = HashMap<Long, Run>()
-    private val sendRates = HashMap<String, SendRate>()
+    private val sendRates = HashMap<String, RecentRate>()
+    private val arrivalRates = HashMap<String, RecentRate>()
+    private val retryAdvice = HashMap<String, RetryAdvice>()
     private var peerDemands: Map<String, Map<Int, Int>> = emptyMap()
 
     /** Decides whether a fraction of a slot counts as a whole one; differs between hosts. */
@@ -78,19 +80,20 @@
         shareRounding = random.nextDouble()
     }
 
-    /** The slowdowns of targets as learned by this host, to report to the other hosts. */
-    public fun ownSlowdowns(): Map<String, LoadReport.Slowdown> =
+    /** The slowdowns of targets observed since the last call, to report to the other hosts. */
+    public fun takeObservedSlowdowns(): Map<String, LoadReport.Slowdown> =
         targets.entries.mapNotNull { (id, load) ->
-            load.slowdown.learned()?.let { id to it }
+            load.slowdown.takeUnreported()?.let { id to it }
         }.toMap()
 
     /** Updates the slowdowns of targets averaged over all hosts. */
     public fun updateFleetSlowdowns(slowdowns: Map<String, Double>): Unit =
-        slowdowns.forEach { (id, slowdown) -> targets[id]?.slowdown?.fleetAverage = slowdown }
+        slowdowns.forEach { (id, slowdown) -> targets[id]?.slowdown?.updateFleetAverage(slowdown) }
 
     /** Queues [ticket]; [onDecision] gets its decision, during this call or a later one. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
         waiting.add(ticket, onDecision)
+        arrivalRates.getOrPut(ticket.service) { RecentRate() }.onOccurrence(nowMs)
         decide(nowMs)
     }
 
@@ -190,24 +193,40 @@
         nowMs: Long
     ): FleetDecision? {
         if (nowMs > ticket.startByMs) {
-            return FleetDecision.Refuse("no target in time", retryAfterMs(ticket))
+            return FleetDecision.Refuse("no target in time", retryAfterMs(ticket, nowMs))
         }
         val position = ahead[ticket.service]
         if (position == null) {
             val best = choose(ticket, rank, nowMs)
             if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket, nowMs))
-        } else if (!mayStartInTime(ticket, position, nowMs)) {
-            return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket))
+        } else if (!mayStartInTime(ticket, rank, position, nowMs)) {
+            return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket, nowMs))
         }
         ahead[ticket.service] = (position ?: 0) + 1
         return null
     }
 
-    /** Whether a ticket with [position] others ahead may get a target in time. */
-    private fun mayStartInTime(ticket: FleetTicket, position: Int, nowMs: Long): Boolean {
-        if (position < ALWAYS_ACCEPTED_AHEAD) return true
+    /**
+     * Whether a ticket with [position] others ahead may get a target in time. A late one also
+     * yields to all that arrive until then.
+     */
+    private fun mayStartInTime(
+        ticket: FleetTicket,
+        rank: Int,
+        position: Int,
+        nowMs: Long
+    ): Boolean {
+        val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
+        if (position < if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED_AHEAD) return true
         val rate = sendRates[ticket.service] ?: return true
-        return position <= rate.expectedSends(ticket.startByMs - nowMs, nowMs) * SEND_RATE_MARGIN
+        val durationMs = ticket.startByMs - nowMs
+        val sends = rate.expectedCount(durationMs, nowMs)
+        val overtaking = if (isDeferred) {
+            arrivalRates[ticket.service]?.expectedCount(durationMs, nowMs) ?: 0.0
+        } else {
+            0.0
+        }
+        return position <= (sends - overtaking) * SEND_RATE_MARGIN
     }
 
     private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
@@ -290,17 +309,17 @@
         val ticket = ranked.entry.ticket
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
-        sendRates.getOrPut(ticket.service) { SendRate() }.onSend(nowMs)
+        sendRates.getOrPut(ticket.service) { RecentRate() }.onOccurrence(nowMs)
         running[ticket.sequence] = Run(ticket, ranked.rank, load, nowMs, load.promptTokens)
     }
 
-    private fun retryAfterMs(ticket: FleetTicket): Long {
+    private fun retryAfterMs(ticket: FleetTicket, nowMs: Long): Long {
         val slots = targets.values
             .filter { it.spec.service == ticket.service && !it.spec.isLeaving }
             .sumOf { it.spec.slots }.coerceAtLeast(1)
         val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
-        val waitMs = TYPICAL_RUN_MS * ahead / slots
-        return (MIN_RETRY_MS + waitMs + random.nextLong(RETRY_SPREAD_MS)).coerceAtMost(MAX_RETRY_MS)
+        val advice = retryAdvice.getOrPut(ticket.service) { RetryAdvice(random) }
+        return advice.onRefusal(TYPICAL_RUN_MS * ahead / slots, ticket.maxRetryAfterMs, nowMs)
     }
 
     /** The state of a target as known to this host. */
@@ -336,6 +355,7 @@
     private companion object {
         /** Tickets with fewer others ahead are not refused, whatever the send rate. */
         const val ALWAYS_ACCEPTED_AHEAD = 6
+        const val ALWAYS_ACCEPTED_LATE = 2
 
         /** Refuses only clear cases, as the send rate of one second is a rough estimate. */
         const val SEND_RATE_MARGIN = 1.3
@@ -353,8 +373,5 @@
         /** At most half of the targets of a service may be ejected at once. */
         const val MAX_EJECTED_DIVISOR = 2
         const val TYPICAL_RUN_MS = 1_500L
-        const val MIN_RETRY_MS = 200L
-        const val RETRY_SPREAD_MS = 300L
-        const val MAX_RETRY_MS = 5_000L
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -17,7 +17,9 @@
     /** The latest time at which the request is still worth sending. */
     val startByMs: Long,
     /** Targets that failed or refused this request; used only if no other has a free slot. */
-    val avoid: Set<String> = emptySet()
+    val avoid: Set<String> = emptySet(),
+    /** The longest time after which a refused caller would still return, in milliseconds. */
+    val maxRetryAfterMs: Long = 5_000
 )
 
 /** The decision on a ticket. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -11,12 +11,12 @@
     val quotaTotalsAtLastUpdate: Map<String, Long> = quotaTotals,
     /** The targets that are ejected on it. */
     val suspects: Set<String> = emptySet(),
-    /** The slowdowns of targets as learned by it; mostly omitted, as they change slowly. */
+    /** The slowdowns of targets that it observed since its previous report. */
     val slowdowns: Map<String, Slowdown> = emptyMap(),
     /** Its requests that run or wait, by service and rank. */
     val demands: Map<String, Map<Int, Int>> = emptyMap()
 ) {
-    /** How many times longer than usual a target takes, averaged over [samples] responses. */
+    /** How many times longer than usual a target took, averaged over [samples] responses. */
     public data class Slowdown(val factor: Double, val samples: Int)
 }
 
@@ -43,7 +43,7 @@
     private val reports = HashMap<String, ReceivedReport>()
     private val quotaUse = HashMap<String, QuotaUse>()
     private val quotaTotals = HashMap<String, Long>()
-    private val slowdowns = HashMap<String, Map<String, LoadReport.Slowdown>>()
+    private val slowdowns = HashMap<String, RecentSlowdown>()
     private var startedAtMs = 0L
 
     /** Adds a host's report, which replaces its previous one. */
@@ -51,7 +51,9 @@
         expire(nowMs)
         if (reports.isEmpty()) restart(nowMs)
         reports[report.host] = ReceivedReport(report, nowMs)
-        if (report.slowdowns.isNotEmpty()) slowdowns[report.host] = report.slowdowns
+        report.slowdowns.forEach { (target, observed) ->
+            slowdowns.getOrPut(target) { RecentSlowdown() }.add(observed, nowMs)
+        }
         val use = quotaUse.getOrPut(report.host) { QuotaUse(report.quotaTotalsAtLastUpdate) }
         use.lastReportAtMs = nowMs
         report.quotaTotals.forEach { (account, total) ->
@@ -70,26 +72,12 @@
     /** Drops the hosts that have not reported in time. */
     public fun expire(nowMs: Long) {
         reports.values.removeIf { nowMs - it.receivedAtMs > reportTimeoutMs }
-        slowdowns.keys.retainAll(reports.keys)
+        slowdowns.values.removeIf { nowMs - it.lastSampleAtMs > SLOWDOWN_RETENTION_MS }
         quotaUse.values.removeIf { nowMs - it.lastReportAtMs > QUOTA_USE_RETENTION_MS }
     }
 
-    /** The slowdowns of targets, averaged over all hosts by their numbers of samples. */
-    public fun averageSlowdowns(): Map<String, Double> {
-        val sums = HashMap<String, LoadReport.Slowdown>()
-        slowdowns.values.forEach { learned ->
-            learned.forEach { (target, slowdown) ->
-                val weighted = LoadReport.Slowdown(
-                    slowdown.factor * slowdown.samples,
-                    slowdown.samples
-                )
-                sums.merge(target, weighted) { a, b ->
-                    LoadReport.Slowdown(a.factor + b.factor, a.samples + b.samples)
-                }
-            }
-        }
-        return sums.mapValues { it.value.factor / it.value.samples }
-    }
+    /** The slowdowns of targets, averaged over the most recent samples of all hosts. */
+    public fun averageSlowdowns(): Map<String, Double> = slowdowns.mapValues { it.value.average }
 
     /** The combined reports of all hosts except [receiver]. */
     public fun summaryFor(receiver: String): LoadSummary {
@@ -130,6 +118,22 @@
 
     private class ReceivedReport(val report: LoadReport, val receivedAtMs: Long)
 
+    /** The average over the most recent samples of one target, from all hosts. */
+    private class RecentSlowdown {
+        var average = 1.0
+            private set
+        var lastSampleAtMs = 0L
+            private set
+        private var weight = 0
+
+        fun add(observed: LoadReport.Slowdown, nowMs: Long) {
+            val total = weight + observed.samples
+            average += (observed.factor - average) * observed.samples / total
+            weight = minOf(total, MAX_SLOWDOWN_SAMPLES)
+            lastSampleAtMs = nowMs
+        }
+    }
+
     /** The quota use of one host, by account. */
     private class QuotaUse(first: Map<String, Long>) {
         /** The totals of its last report. */
@@ -144,6 +148,10 @@
         /** A single host may be the only one whose network path to a target is broken. */
         const val MIN_SUSPECTING_HOSTS = 2
 
+        /** About the number of samples that an average covers; targets turn slow at any moment. */
+        const val MAX_SLOWDOWN_SAMPLES = 20
+        const val SLOWDOWN_RETENTION_MS = 30_000L
+
         /** Longer than the longest pause or partition after which a host resumes its reports. */
         const val QUOTA_USE_RETENTION_MS = 600_000L
     }
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RetryAdvice.kt
@@ -0,0 +1,41 @@
+package org.bronzetide.scheduling.fleet
+
+import kotlin.random.Random
+
+/**
+ * Tells refused callers of one service when to return.
+ *
+ * A refused request is late when it returns, so that what counts then is that it finds a place. How
+ * long an overload lasts is not known; the longer it has lasted, the longer it is expected to go on.
+ * Of overloads whose length has no typical scale, two in three end within twice their age.
+ */
+internal class RetryAdvice(private val random: Random) {
+    private var overloadedSinceMs = 0L
+    private var lastRefusalAtMs = Long.MIN_VALUE / 2
+
+    /**
+     * Returns the time after which to return, in milliseconds, at most [limitMs]. [backlogMs] is the
+     * time until the requests that wait now have a place.
+     */
+    fun onRefusal(backlogMs: Long, limitMs: Long, nowMs: Long): Long {
+        if (nowMs - lastRefusalAtMs > CALM_MS) overloadedSinceMs = nowMs
+        lastRefusalAtMs = nowMs
+        val ageMs = nowMs - overloadedSinceMs
+        val expectedMs = MIN_DELAY_MS + maxOf(backlogMs, ageMs * EXPECTED_AGES)
+        val earliestMs = minOf(expectedMs, limitMs * MIN_LIMIT_PERCENT / PERCENT)
+        val spreadMs = maxOf(MIN_SPREAD_MS, earliestMs / 2)
+        return (earliestMs + random.nextLong(spreadMs)).coerceIn(1, maxOf(1, limitMs))
+    }
+
+    private companion object {
+        /** After this time without a refusal, the next one begins another overload. */
+        const val CALM_MS = 1_000L
+        const val EXPECTED_AGES = 2
+        const val MIN_DELAY_MS = 200L
+        const val MIN_SPREAD_MS = 300L
+
+        /** Callers with the same limit are spread over the rest of it. */
+        const val MIN_LIMIT_PERCENT = 65
+        const val PERCENT = 100
+    }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -67,11 +67,11 @@
      */
     class RankedEntry(val entry: Entry, val rank: Int, val isLate: Boolean)
 
-    private companion object {
-        /** Greater than any priority. */
+    companion object {
+        /** The lowest rank of late requests; greater than any priority. */
         const val DEFERRED_RANK = 1_000
 
         /** How long before its latest start a late request regains its priority. */
-        const val PRIORITY_RESTORE_MS = 400L
+        private const val PRIORITY_RESTORE_MS = 400L
     }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -114,6 +114,30 @@
         assertThat(scheduler.waitingCount).isBetween(6, 20)
     }
 
+    /**
+     * In a burst of three times the capacity, late requests yield to all that arrive. They would
+     * wait in vain and hear it only at the end.
+     */
+    @Example
+    fun lateRequestsAreRefusedAtOnceWhileArrivalsExceedSends() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        var sequence = 0L
+        (0L until 2_000L step 20).forEach { nowMs ->
+            repeat(3) {
+                val id = ++sequence
+                val ticket = FleetTicket(
+                    id, "model", 1, 500, 50, dueAtMs = nowMs + 300, startByMs = nowMs + 1_800
+                )
+                scheduler.enroll(ticket, nowMs) { sent[id] = it }
+            }
+            sent.filterValues { it is FleetDecision.Send }.keys.max()
+                .let { scheduler.release(it, FleetOutcome.ANSWERED, nowMs + 10) }
+            scheduler.decide(nowMs + 10)
+        }
+        assertThat(scheduler.waitingCount).isLessThan(50)
+        assertThat(sent.values.filterIsInstance<FleetDecision.Refuse>()).hasSizeGreaterThan(140)
+    }
+
     /** After a start, many hosts have too few requests each to learn slowdowns on their own. */
     @Example
     fun targetThatOtherHostsFoundSlowIsAvoidedFromTheFirstRequest() {
@@ -128,7 +152,37 @@
         scheduler.updateTargets(listOf(target("t1")))
         enroll(1)
         scheduler.onEventInterval(1, msPerEvent = 150.0)
-        assertThat(scheduler.ownSlowdowns().getValue("t1").factor).isGreaterThan(4.0)
+        assertThat(scheduler.takeObservedSlowdowns().getValue("t1").factor).isGreaterThan(4.0)
+    }
+
+    /**
+     * 90 hosts have sent to a target for long, each of them rarely. When it turns slow, what they
+     * learned before must not hide it.
+     */
+    @Example
+    fun targetThatTurnsSlowIsSoonKnownInALargeFleet() {
+        val aggregator = LoadAggregator(reportTimeoutMs = 1_000)
+        val fleet = (1..90).map { host ->
+            FleetScheduler("zone-a", Random(host)).also { it.updateTargets(listOf(target("t1"))) }
+        }
+        var sequence = 0L
+        fun respond(host: Int, msPerEvent: Double) {
+            val id = ++sequence
+            fleet[host].enroll(ticket(id, 1, 10_000), 0) {}
+            fleet[host].onEventInterval(id, msPerEvent)
+            fleet[host].release(id, FleetOutcome.CANCELLED, 0)
+            val observed = fleet[host].takeObservedSlowdowns()
+            aggregator.onReport(
+                LoadReport("h$host", emptyMap(), emptyMap(), slowdowns = observed),
+                0
+            )
+        }
+        repeat(900) { respond(it % 90, msPerEvent = 25.0) }
+        repeat(30) { respond(it, msPerEvent = 100.0) }
+        assertThat(aggregator.averageSlowdowns().getValue("t1")).isGreaterThan(2.5)
+        val host = fleet.last()
+        repeat(3) { host.updateFleetSlowdowns(aggregator.averageSlowdowns()) }
+        assertThat(host.views(0).single().slowdown).isGreaterThan(2.0)
     }
 
     /** The count of a response is newer than reports that are half a second old. */
