Bound what a peer may send without an end

Cause: heads, interim responses and trailers had no limit, so that a server that sends without end filled the memory until the request's deadline. An event without an end was collected, and copied for each chunk. The stall timer of a stream restarted with each byte, so that a target that sent a byte, a comment or its last event again now and then was never left.

Change: heads end at 128 KiB (callers get 431), trailers at 100 lines, events at 256 KiB. A stream has stalled until an event with new content arrives.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -17,6 +17,7 @@
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.BodyTooLargeException
 import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.HeadTooLargeException
 import org.bronzetide.http.Header
 import org.bronzetide.http.IncomingRequest
 import org.bronzetide.http.MalformedMessageException
@@ -54,6 +55,8 @@
             refuseAndClose(BAD_REQUEST)
         } catch (_: BodyTooLargeException) {
             refuseAndClose(CONTENT_TOO_LARGE)
+        } catch (_: HeadTooLargeException) {
+            refuseAndClose(HEADERS_TOO_LARGE)
         } finally {
             connection.close()
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
@@ -1,5 +1,7 @@
 package org.bronzetide.edge.forwarding
 
+import java.io.IOException
+
 /** Splits the bytes of a server-sent event stream into complete events with their blank lines. */
 internal class EventSplitter {
     private var pending = ByteArray(0)
@@ -7,7 +9,11 @@
     /** The bytes received since the last complete event. */
     val incompleteEvent: ByteArray get() = pending
 
-    /** Adds [bytes] and returns the events that are complete now, in order. */
+    /**
+     * Adds [bytes] and returns the events that are complete now, in order.
+     *
+     * @throws IOException if an event has more than [MAX_EVENT_BYTES] bytes.
+     */
     fun feed(bytes: ByteArray): List<Event> {
         val data = if (pending.isEmpty()) bytes else pending + bytes
         val events = ArrayList<Event>()
@@ -24,6 +30,9 @@
             }
         }
         pending = data.copyOfRange(start, data.size)
+        if (pending.size > MAX_EVENT_BYTES) {
+            throw IOException("event exceeds $MAX_EVENT_BYTES bytes")
+        }
         return events
     }
 
@@ -43,12 +52,23 @@
                 .firstOrNull { it.startsWith(ID_FIELD) }
                 ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
         }
+
+        /** Whether the event has content; comments only keep a connection open. */
+        val hasContent: Boolean by lazy(LazyThreadSafetyMode.NONE) {
+            bytes.isNotEmpty() &&
+                bytes.decodeToString().lineSequence()
+                    .any { it.isNotBlank() && !it.startsWith(COMMENT) }
+        }
     }
 
     private companion object {
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ":"
+
+        /** A token takes some ten bytes, and an event has few tokens. */
+        const val MAX_EVENT_BYTES = 262_144
 
         /** The longest part of an event's terminator that may end a chunk. */
         const val MAX_PARTIAL_TERMINATOR_BYTES = 2
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -52,11 +52,9 @@
         var lastAtMs = 0L
         var runEvents = 0
         while (true) {
-            val chunk =
-                stallPolicy.await(isFirst = runEvents == 0) { response.body.readAvailable() }
+            val events =
+                stallPolicy.await(isFirst = runEvents == 0) { readEvents(response, splitter) }
                     ?: break
-            val events = splitter.feed(chunk).filterNot(::isDuplicate)
-            if (events.isEmpty()) continue
             lastAtMs = clock.nowMs()
             if (runEvents == 0) {
                 firstAtMs = lastAtMs
@@ -74,6 +72,24 @@
         return if (intervals < MIN_INTERVALS) 0.0 else (lastAtMs - firstAtMs).toDouble() / intervals
     }
 
+    /**
+     * Reads until there is an event with new content and returns it with those before it, or
+     * returns `null` at the end of the stream. Bytes of unfinished events, comments and repeated
+     * events are no progress: a target that sends only such has stalled.
+     */
+    private suspend fun readEvents(
+        response: IncomingResponse,
+        splitter: EventSplitter
+    ): List<EventSplitter.Event>? {
+        val events = ArrayList<EventSplitter.Event>()
+        while (events.none { it.hasContent }) {
+            val chunk = response.body.readAvailable() ?: return events.ifEmpty { null }
+            events += splitter.feed(chunk).filterNot(::isDuplicate)
+            if (events.size > MAX_HELD_EVENTS) events.removeAll { !it.hasContent }
+        }
+        return events
+    }
+
     private suspend fun sendToCaller(
         response: IncomingResponse,
         events: List<EventSplitter.Event>
@@ -102,6 +118,9 @@
     }
 
     private companion object {
+        /** Comments before the next event; more are dropped. */
+        const val MAX_HELD_EVENTS = 100
+
         /** The fewest event intervals whose average is reported. */
         const val MIN_INTERVALS = 4
     }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -46,10 +46,11 @@
      * Reads the head of the next request; returns `null` if the caller has closed the connection.
      *
      * @throws MalformedMessageException if the input is not a valid request.
+     * @throws HeadTooLargeException if the head has no end.
      */
     public suspend fun receive(): IncomingRequest? {
         val request = try {
-            parseRequest(input) ?: return null
+            socket.limitInput(TcpSocket.MAX_HEAD_BYTES) { parseRequest(input) } ?: return null
         } catch (cause: ParserException) {
             throw MalformedMessageException(cause.message.orEmpty())
         }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -64,9 +64,13 @@
     /**
      * Waits for the head of the next final response; interim responses (1xx) are skipped.
      *
-     * @throws java.io.IOException if the connection ends or the input is not a valid response.
+     * @throws java.io.IOException if the connection ends, or the input is not a valid response or
+     * has no end.
      */
-    public suspend fun receive(): IncomingResponse {
+    public suspend fun receive(): IncomingResponse =
+        socket.limitInput(TcpSocket.MAX_HEAD_BYTES) { receiveFinal() }
+
+    private suspend fun receiveFinal(): IncomingResponse {
         while (true) {
             val parsed = parseResponse(input) ?: throw EOFException("closed before a response")
             val response = parsed.use {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -98,7 +98,7 @@
         if (!isInChunk) {
             remaining = chunkSize(readLine())
             if (remaining == 0L) {
-                while (readLine().isNotEmpty()) Unit
+                skipTrailers()
                 isComplete = true
                 return null
             }
@@ -112,6 +112,11 @@
         return bytes
     }
 
+    private suspend fun skipTrailers() {
+        repeat(MAX_TRAILERS) { if (readLine().isEmpty()) return }
+        throw MalformedMessageException("more than $MAX_TRAILERS trailers")
+    }
+
     private suspend fun readLine(): String = input.readLineStrict(MAX_CHUNK_LINE_LENGTH)
         ?: throw EOFException("connection closed within the body")
 
@@ -135,6 +140,7 @@
     private companion object {
         const val BUFFER_BYTES = 4_096
         const val MAX_CHUNK_LINE_LENGTH = 1_024L
+        const val MAX_TRAILERS = 100
         const val HEX = 16
     }
 }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -28,6 +28,21 @@
     /** The bytes that the peer sends. */
     public val input: ByteReadChannel get() = reader
 
+    /**
+     * Runs [block], which reads from [input].
+     *
+     * @throws HeadTooLargeException if it reads more than about [maxBytes] bytes; the input is not
+     * usable any more then.
+     */
+    internal suspend fun <T> limitInput(maxBytes: Int, block: suspend () -> T): T {
+        reader.remainingBytes = maxBytes.toLong()
+        try {
+            return block()
+        } finally {
+            reader.remainingBytes = Long.MAX_VALUE
+        }
+    }
+
     /** The bytes for the peer; buffered until they are flushed. */
     public val output: ByteWriteChannel = Writer()
 
@@ -51,6 +66,9 @@
         private var hasEnded = false
         private var mayHaveMoreInput = false
 
+        /** How many more bytes may be received. */
+        var remainingBytes = Long.MAX_VALUE
+
         val isEmpty: Boolean get() = buffer.exhausted()
         override val readBuffer: Source get() = buffer
 
@@ -85,6 +103,12 @@
                 throw cause
             }
             mayHaveMoreInput = count == SCRATCH_BYTES
+            remainingBytes -= maxOf(count, 0)
+            if (remainingBytes < 0) {
+                val cause = HeadTooLargeException()
+                closedCause = cause
+                throw cause
+            }
             if (count > 0) buffer.transferFrom(scratch.flip())
             if (count < 0) hasEnded = true
             return count
@@ -128,6 +152,9 @@
     }
 
     internal companion object {
+        /** Well above the heads that manifests allow; a body may follow in the same read. */
+        const val MAX_HEAD_BYTES = 131_072
+
         /** Larger than most messages and events, so that these take one read. */
         private const val SCRATCH_BYTES = 16_384
         private val threadScratch: ThreadLocal<ByteBuffer> =
@@ -161,3 +188,7 @@
         }
     }
 }
+
+/** The head of a message has more than [TcpSocket.MAX_HEAD_BYTES] bytes. */
+public class HeadTooLargeException :
+    IOException("head of a message exceeds ${TcpSocket.MAX_HEAD_BYTES} bytes")
