--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/TimeOfDayTest.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/TimeOfDayTest.kt
@@ -29,8 +29,13 @@
 
     private companion object {
         val modules = listOf(
-            "bronzetide-coordination", "bronzetide-edge", "bronzetide-http", "bronzetide-model",
-            "bronzetide-node", "bronzetide-scheduling", "platform"
+            "bronzetide-coordination",
+            "bronzetide-edge",
+            "bronzetide-http",
+            "bronzetide-model",
+            "bronzetide-node",
+            "bronzetide-scheduling",
+            "platform"
         )
         val timeOfDay = listOf("currentTimeMillis", "Instant.now", "LocalDate", "ZonedDateTime")
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -321,12 +321,12 @@
         const val PEER_FALLBACK_DELAY_MS = 400L
         const val MAX_PEERS_ASKED = 3
 
-        /** After this many requests, a request takes a fifth of the time of the first ones. */
-        const val WARM_UP_REQUESTS = 50
+        /** Loads what a request needs; callers that are waiting complete the warm-up. */
+        const val WARM_UP_REQUESTS = 10
         const val WARM_UP_LIMIT_MS = 1_500L
 
-        /** After this many requests, a request takes hardly longer than in steady state. */
-        const val FIRST_START_WARM_UP_REQUESTS = 150
+        /** After this many requests, most methods of a request are compiled. */
+        const val FIRST_START_WARM_UP_REQUESTS = 50
 
         /** Callers connect about 15 s after the first start of the system. */
         const val FIRST_START_WARM_UP_LIMIT_MS = 6_000L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/LogConfigurator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/LogConfigurator.kt
@@ -17,7 +17,9 @@
  * In code rather than in Logback's XML, whose parsing takes a third of the processor time until a
  * process listens. Logback finds this class by its service file.
  */
-public class LogConfigurator : ContextAwareBase(), Configurator {
+public class LogConfigurator :
+    ContextAwareBase(),
+    Configurator {
     override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
         val console = ConsoleAppender<ILoggingEvent>()
         console.context = context
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
@@ -20,9 +20,15 @@
     var msPerEvent = INITIAL_MS_PER_EVENT
         private set
 
-    /** The predicted time to the first event on the target of [load], in milliseconds. */
-    fun firstEventMs(load: TargetLoad, promptTokens: Int, nowMs: Long): Double =
-        load.slowdownAt(nowMs) * (fixedMs + (load.promptTokens + promptTokens) * msPerPromptToken)
+    /**
+     * The predicted time to the first event on the target of [load], in milliseconds; 0 if the
+     * target is no engine.
+     */
+    fun firstEventMs(load: TargetLoad, promptTokens: Int, nowMs: Long): Double {
+        if (!load.spec.isEngine) return 0.0
+        val readingMs = (load.promptTokens + promptTokens) * msPerPromptToken
+        return load.slowdownAt(nowMs) * (fixedMs + readingMs)
+    }
 
     /** The predicted time to the first event if no other prompt is read, in milliseconds. */
     fun unloadedFirstEventMs(promptTokens: Int): Double = fixedMs + promptTokens * msPerPromptToken
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -15,9 +15,7 @@
     private val responseTimes = HashMap<String, ResponseTimeEstimator>()
     private val waiting = WaitingQueue(::expectedMs)
     private val running = HashMap<Long, Run>()
-    private val sendRates = HashMap<String, RecentRate>()
-    private val arrivalRates = HashMap<String, RecentRate>()
-    private val retryAdvice = HashMap<String, RetryAdvice>()
+    private val overloadPolicies = HashMap<String, OverloadPolicy>()
     private var peerDemands: Map<String, Map<Int, Int>> = emptyMap()
 
     /** Decides whether a fraction of a slot counts as a whole one; differs between hosts. */
@@ -51,8 +49,11 @@
      * Replaces the loads of the other hosts on each target. They were counted [ageMs] milliseconds
      * before [nowMs]; what a target itself has said since then is kept.
      */
-    public fun updatePeerLoads(loads: Map<String, PeerLoad>, nowMs: Long = 0, ageMs: Long = 0): Unit =
-        targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
+    public fun updatePeerLoads(
+        loads: Map<String, PeerLoad>,
+        nowMs: Long = 0,
+        ageMs: Long = 0
+    ): Unit = targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
 
     /**
      * Records what the target of a ticket that was sent says of itself: the requests in progress
@@ -93,7 +94,7 @@
     /** Queues [ticket]; [onDecision] gets its decision, during this call or a later one. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
         waiting.add(ticket, onDecision)
-        arrivalRates.getOrPut(ticket.service) { RecentRate() }.onOccurrence(nowMs)
+        overloadPolicyOf(ticket).onArrival(nowMs)
         decide(nowMs)
     }
 
@@ -115,7 +116,9 @@
 
     /** Learns from the mean event interval so far of the response to a ticket that was sent. */
     public fun onEventInterval(sequence: Long, msPerEvent: Double) {
-        running[sequence]?.let { learnEventInterval(it.load, msPerEvent) }
+        val load = running[sequence]?.load ?: return
+        engine.learnEventInterval(msPerEvent)
+        load.slowdown.addSample(msPerEvent / engine.msPerEvent)
     }
 
     /**
@@ -128,6 +131,9 @@
         nowMs: Long,
         msPerEvent: Double = 0.0
     ) {
+        if (outcome == FleetOutcome.ANSWERED && msPerEvent > 0) {
+            onEventInterval(sequence, msPerEvent)
+        }
         val run = running.remove(sequence) ?: return
         if (!run.hasFirstEvent) run.load.onFirstEvent(run.ticket.promptTokens)
         run.load.end()
@@ -137,9 +143,6 @@
                 nowMs - run.sentAtMs
             )
         }
-        if (outcome == FleetOutcome.ANSWERED && msPerEvent > 0) {
-            learnEventInterval(run.load, msPerEvent)
-        }
         decide(nowMs)
     }
 
@@ -192,43 +195,37 @@
         ahead: MutableMap<String, Int>,
         nowMs: Long
     ): FleetDecision? {
-        if (nowMs > ticket.startByMs) {
-            return FleetDecision.Refuse("no target in time", retryAfterMs(ticket, nowMs))
-        }
+        if (nowMs > ticket.startByMs) return refuse(ticket, "no target in time", nowMs)
         val position = ahead[ticket.service]
         if (position == null) {
             val best = choose(ticket, rank, nowMs)
-            if (best != null) return FleetDecision.Send(best.spec.id, firstEventMs(best, ticket, nowMs))
-        } else if (!mayStartInTime(ticket, rank, position, nowMs)) {
-            return FleetDecision.Refuse("too many ahead", retryAfterMs(ticket, nowMs))
+            if (best != null) {
+                val firstEventMs = engine.firstEventMs(best, ticket.promptTokens, nowMs)
+                return FleetDecision.Send(best.spec.id, firstEventMs.toLong())
+            }
+        } else {
+            val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
+            val policy = overloadPolicyOf(ticket)
+            if (!policy.mayStartInTime(ticket, isDeferred, position, nowMs)) {
+                return refuse(ticket, "too many ahead", nowMs)
+            }
         }
         ahead[ticket.service] = (position ?: 0) + 1
         return null
     }
 
-    /**
-     * Whether a ticket with [position] others ahead may get a target in time. A late one also
-     * yields to all that arrive until then.
-     */
-    private fun mayStartInTime(
-        ticket: FleetTicket,
-        rank: Int,
-        position: Int,
-        nowMs: Long
-    ): Boolean {
-        val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
-        if (position < if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED_AHEAD) return true
-        val rate = sendRates[ticket.service] ?: return true
-        val durationMs = ticket.startByMs - nowMs
-        val sends = rate.expectedCount(durationMs, nowMs)
-        val overtaking = if (isDeferred) {
-            arrivalRates[ticket.service]?.expectedCount(durationMs, nowMs) ?: 0.0
-        } else {
-            0.0
-        }
-        return position <= (sends - overtaking) * SEND_RATE_MARGIN
+    private fun refuse(ticket: FleetTicket, reason: String, nowMs: Long): FleetDecision {
+        val slots = targets.values
+            .filter { it.spec.service == ticket.service && !it.spec.isLeaving }
+            .sumOf { it.spec.slots }
+        val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
+        val retryAfterMs = overloadPolicyOf(ticket).retryAfterMs(ticket, ahead, slots, nowMs)
+        return FleetDecision.Refuse(reason, retryAfterMs)
     }
 
+    private fun overloadPolicyOf(ticket: FleetTicket): OverloadPolicy =
+        overloadPolicies.getOrPut(ticket.service) { OverloadPolicy(random) }
+
     private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
         val all = usable(ticket.service, nowMs)
         if (usesOwnShare(ticket.service, rank, all.sumOf { it.spec.slots }, nowMs)) return null
@@ -269,9 +266,6 @@
         responseTimes[ticket.service]?.expectedMs ?: 0
     }
 
-    private fun firstEventMs(load: TargetLoad, ticket: FleetTicket, nowMs: Long): Long =
-        if (load.spec.isEngine) engine.firstEventMs(load, ticket.promptTokens, nowMs).toLong() else 0
-
     /**
      * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
      * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
@@ -289,11 +283,6 @@
         return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
     }
 
-    private fun learnEventInterval(load: TargetLoad, msPerEvent: Double) {
-        engine.learnEventInterval(msPerEvent)
-        load.slowdown.addSample(msPerEvent / engine.msPerEvent)
-    }
-
     private fun usable(service: String, nowMs: Long): List<TargetLoad> {
         val listed = targets.values.filter { it.spec.service == service && !it.spec.isLeaving }
         return listed.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { listed }
@@ -309,19 +298,10 @@
         val ticket = ranked.entry.ticket
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
-        sendRates.getOrPut(ticket.service) { RecentRate() }.onOccurrence(nowMs)
+        overloadPolicyOf(ticket).onSend(nowMs)
         running[ticket.sequence] = Run(ticket, ranked.rank, load, nowMs, load.promptTokens)
     }
 
-    private fun retryAfterMs(ticket: FleetTicket, nowMs: Long): Long {
-        val slots = targets.values
-            .filter { it.spec.service == ticket.service && !it.spec.isLeaving }
-            .sumOf { it.spec.slots }.coerceAtLeast(1)
-        val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
-        val advice = retryAdvice.getOrPut(ticket.service) { RetryAdvice(random) }
-        return advice.onRefusal(TYPICAL_RUN_MS * ahead / slots, ticket.maxRetryAfterMs, nowMs)
-    }
-
     /** The state of a target as known to this host. */
     public data class TargetView(
         val id: String,
@@ -353,13 +333,6 @@
     }
 
     private companion object {
-        /** Tickets with fewer others ahead are not refused, whatever the send rate. */
-        const val ALWAYS_ACCEPTED_AHEAD = 6
-        const val ALWAYS_ACCEPTED_LATE = 2
-
-        /** Refuses only clear cases, as the send rate of one second is a rough estimate. */
-        const val SEND_RATE_MARGIN = 1.3
-
         /** Up to this many hosts, known loads are recent enough to choose the best target. */
         const val MAX_SMALL_FLEET_HOSTS = 16
         const val SAMPLE_SIZE = 4
@@ -372,6 +345,5 @@
 
         /** At most half of the targets of a service may be ejected at once. */
         const val MAX_EJECTED_DIVISOR = 2
-        const val TYPICAL_RUN_MS = 1_500L
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RetryAdvice.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RetryAdvice.kt
@@ -5,17 +5,17 @@
 /**
  * Tells refused callers of one service when to return.
  *
- * A refused request is late when it returns, so that what counts then is that it finds a place. How
- * long an overload lasts is not known; the longer it has lasted, the longer it is expected to go on.
- * Of overloads whose length has no typical scale, two in three end within twice their age.
+ * A refused request is late when it returns, so that what counts then is that it finds a place.
+ * How long an overload lasts is not known; the longer it has lasted, the longer it is expected to
+ * go on. Of overloads whose length has no typical scale, two in three end within twice their age.
  */
 internal class RetryAdvice(private val random: Random) {
     private var overloadedSinceMs = 0L
     private var lastRefusalAtMs = Long.MIN_VALUE / 2
 
     /**
-     * Returns the time after which to return, in milliseconds, at most [limitMs]. [backlogMs] is the
-     * time until the requests that wait now have a place.
+     * Returns the time after which to return, in milliseconds, at most [limitMs]. [backlogMs] is
+     * the time until the requests that wait now have a place.
      */
     fun onRefusal(backlogMs: Long, limitMs: Long, nowMs: Long): Long {
         if (nowMs - lastRefusalAtMs > CALM_MS) overloadedSinceMs = nowMs
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -126,7 +126,13 @@
             repeat(3) {
                 val id = ++sequence
                 val ticket = FleetTicket(
-                    id, "model", 1, 500, 50, dueAtMs = nowMs + 300, startByMs = nowMs + 1_800
+                    id,
+                    "model",
+                    1,
+                    500,
+                    50,
+                    dueAtMs = nowMs + 300,
+                    startByMs = nowMs + 1_800
                 )
                 scheduler.enroll(ticket, nowMs) { sent[id] = it }
             }
