--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -6,7 +6,10 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SettingsException
@@ -35,7 +38,7 @@
     // Installed before anything else, because an unhandled SIGHUP terminates the JVM.
     Signal.handle(Signal("HUP")) { current.get()?.let { reload(it) } }
     if ("--rehearse" in arguments) return warmUp()
-    val settings = readSettings() ?: exitProcess(EXIT_INVALID_SETTINGS)
+    val settings = readSettings(settingsPath()) ?: exitProcess(EXIT_INVALID_SETTINGS)
     if ("--check" in arguments) return
     val node = EdgeNode(settings)
     current.set(node)
@@ -53,28 +56,30 @@
 }
 
 private fun reload(node: EdgeNode) {
-    readSettings()?.let(node::reload)
+    readSettings(settingsPath())?.let(node::reload)
 }
 
+private fun settingsPath(): String? = System.getenv(HostSettings.FILE_VARIABLE)
+
 private fun warmUp() = TrafficLoop().use { traffic ->
     runBlocking(traffic) {
+        // A start also uses an event loop of its own thread.
+        withContext(Dispatchers.IO) { runBlocking { yield() } }
         WarmUp(traffic).run(ARCHIVE_WARM_UP_REQUESTS, ARCHIVE_WARM_UP_LIMIT_MS)
         StartRehearsal(traffic).run(rehearsalPorts.random())
     }
 }
 
-private fun readSettings(): HostSettings? {
-    val path = System.getenv(HostSettings.FILE_VARIABLE)
-    return try {
-        if (path == null) {
-            throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
-        }
-        HostSettings.parse(File(path).readText())
-    } catch (cause: SettingsException) {
-        cause.errors.forEach { System.err.println("settings: $it") }
-        null
-    } catch (cause: java.io.IOException) {
-        System.err.println("settings: ${cause.message}")
-        null
+/** Reads the settings at [path]; reports errors on standard error and returns `null` then. */
+internal fun readSettings(path: String?): HostSettings? = try {
+    if (path == null) {
+        throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
     }
+    HostSettings.parse(File(path).readText())
+} catch (cause: SettingsException) {
+    cause.errors.forEach { System.err.println("settings: $it") }
+    null
+} catch (cause: java.io.IOException) {
+    System.err.println("settings: ${cause.message}")
+    null
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.edge
 
+import java.io.File
 import java.io.IOException
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -47,7 +48,7 @@
         acceptors.forEach { it.start(this) }
         val nodes = listOf(LOOPBACK, OTHER_LOOPBACK).mapIndexed { index, ip ->
             val text = SampleDocuments.settings("rehearsal-$index", ip, firstPort + 2, store)
-            EdgeNode(HostSettings.parse(text))
+            EdgeNode(readAsFile(text))
         }
         try {
             nodes.forEach { it.start() }
@@ -65,6 +66,16 @@
         }
     }
 
+    private fun readAsFile(text: String): HostSettings {
+        val file = File.createTempFile("rehearsal", ".settings")
+        try {
+            file.writeText(text)
+            return checkNotNull(readSettings(file.path)) { "the sample settings are invalid" }
+        } finally {
+            file.delete()
+        }
+    }
+
     private suspend fun serveAsStore(connection: CallerConnection, target: SocketAddress) {
         while (true) {
             val request = connection.receive() ?: return
