--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -51,7 +51,7 @@
         expire(nowMs)
         if (reports.isEmpty()) restart(nowMs)
         reports[report.host] = ReceivedReport(report, nowMs)
-        report.slowdowns.forEach { (target, observed) ->
+        report.slowdowns.filterValues { it.samples > 0 }.forEach { (target, observed) ->
             slowdowns.getOrPut(target) { RecentSlowdown() }.add(observed, nowMs)
         }
         val use = quotaUse.getOrPut(report.host) { QuotaUse(report.quotaTotalsAtLastUpdate) }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadAggregatorTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/LoadAggregatorTest.kt
@@ -73,6 +73,8 @@
         )
         // Most reports omit slowdowns; the last reported ones stay in use.
         aggregator.onReport(report, 10)
+        val withoutSamples = listOf("t1", "t2").associateWith { LoadReport.Slowdown(9.0, 0) }
+        aggregator.onReport(report.copy(slowdowns = withoutSamples), 20)
         assertThat(aggregator.averageSlowdowns()).isEqualTo(mapOf("t1" to 5.5))
     }
 
