--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -129,7 +129,7 @@
         metrics
     )
     private val callerAcceptor = ConnectionAcceptor(traffic, settings.callerAddress, log) {
-        // Callers that are already here must not share the processor with a rehearsal.
+        // Callers that are already here must not share the processor with the warm-up.
         warmUp?.cancel()
         CallerSession(CallerConnection(it), sessionDependencies).run()
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -47,7 +47,7 @@
 
     /**
      * Replaces the loads of the other hosts on each target. They were counted [ageMs] milliseconds
-     * before [nowMs]; what a target itself has said since then is kept.
+     * before [nowMs]; what a target itself has reported since then is kept.
      */
     public fun updatePeerLoads(
         loads: Map<String, PeerLoad>,
@@ -56,8 +56,8 @@
     ): Unit = targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
 
     /**
-     * Records what the target of a ticket that was sent says of itself: the requests in progress
-     * from all hosts, and its momentary [slowdown], or `null` if it does not tell.
+     * Records what the target of a ticket that was sent reports of itself: the requests in progress
+     * from all hosts, and its momentary [slowdown], or `null` if it has none.
      */
     public fun onReportedLoad(sequence: Long, inProgress: Int, slowdown: Double?, nowMs: Long) {
         running[sequence]?.load?.onReported(inProgress, slowdown, nowMs)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
@@ -22,7 +22,8 @@
         position: Int,
         nowMs: Long
     ): Boolean {
-        if (position < if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED_AHEAD) return true
+        val alwaysAccepted = if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED
+        if (position < alwaysAccepted) return true
         val durationMs = ticket.startByMs - nowMs
         val expectedSends = sends.expectedCount(durationMs, nowMs)
         val overtaking = if (isDeferred) arrivals.expectedCount(durationMs, nowMs) else 0.0
@@ -40,7 +41,7 @@
 
     private companion object {
         /** Tickets with fewer others ahead are not refused, whatever the rate of sends. */
-        const val ALWAYS_ACCEPTED_AHEAD = 6
+        const val ALWAYS_ACCEPTED = 6
         const val ALWAYS_ACCEPTED_LATE = 2
 
         /** Refuses only clear cases, as the rate of one second is a rough estimate. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -32,7 +32,7 @@
     val count: Int get() = ownCount + peerCount
     val promptTokens: Long get() = ownPromptTokens + peerPromptTokens
 
-    /** The factor by which work takes longer than usual at [nowMs]: as learned, and as told. */
+    /** How many times longer than usual work takes at [nowMs], as learned and as reported. */
     fun slowdownAt(nowMs: Long): Double = slowdown.current * momentarySlowdown.at(nowMs)
 
     /** Updates the load of the other hosts with [load], which was counted [ageMs] ms ago. */
@@ -42,7 +42,7 @@
         if (!isReportNewer) peerCount = load?.count ?: 0
     }
 
-    /** Records that the target said it has [inProgress] requests, and its [slowdown] if known. */
+    /** Records a report of the target: [inProgress] requests, and its [slowdown] if it has one. */
     fun onReported(inProgress: Int, slowdown: Double?, nowMs: Long) {
         peerCount = (inProgress - ownCount).coerceIn(0, spec.slots * MAX_PEERS_PER_SLOT)
         countReportedAtMs = nowMs
