Let both rehearsals share one caller, and name the targets of a service once

Found in a last reading of the change: WarmUp and StartRehearsal each had the same exchange of a request; the filter of a service's targets stood three times in FleetScheduler; the name of the store's watch stood outside platform/. SyntheticCaller, a private extension and SampleDocuments.isWatch replace them. The start's rehearsal now sends a deadline and 2,000 bytes of body, as the warm-up did.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
@@ -12,10 +12,8 @@
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
-import org.bronzetide.http.OutgoingRequest
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
-import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.SampleDocuments
 import org.bronzetide.platform.fleet.SocketAddress
 
@@ -56,7 +54,10 @@
                 while (nodes.any { !it.isReady }) delay(POLL_MS)
             }
             ConnectionPool(traffic, clock).use { pool ->
-                repeat(REQUESTS) { sendRequest(pool, firstPort + 2, it) }
+                val port = firstPort + 2
+                val caller =
+                    SyntheticCaller(pool, port, SampleDocuments.HOST, SampleDocuments.API_KEY)
+                repeat(REQUESTS) { caller.send(SyntheticTarget.STREAM_PATH, TIMEOUT_MS) }
             }
             delay(EXCHANGE_MS)
         } finally {
@@ -79,28 +80,13 @@
     private suspend fun serveAsStore(connection: CallerConnection, target: SocketAddress) {
         while (true) {
             val request = connection.receive() ?: return
-            if ("watch" in request.requestTarget) delay(WATCH_MS)
+            if (SampleDocuments.isWatch(request.requestTarget)) delay(WATCH_MS)
             val body = SampleDocuments.storeResponse(request.requestTarget, target)
             val type = Header("Content-Type", "application/json")
             connection.send(OK, listOf(type), body.encodeToByteArray())
         }
     }
 
-    private suspend fun sendRequest(pool: ConnectionPool, port: Int, index: Int) {
-        val connection = pool.acquire(LOOPBACK, port)
-        val headers = listOf(
-            Header("Host", SampleDocuments.HOST),
-            Header(PlatformHeaders.REQUEST_ID, "rehearsal-$index"),
-            Header(PlatformHeaders.API_KEY, SampleDocuments.API_KEY),
-            Header(PlatformHeaders.TOKENS, "100,20")
-        )
-        val path = SyntheticTarget.STREAM_PATH
-        connection.send(OutgoingRequest("POST", path, headers, ByteArray(BODY_BYTES)))
-        val response = connection.receive()
-        response.body.readAll(MAX_RESPONSE_BYTES)
-        pool.release(LOOPBACK, port, connection, response)
-    }
-
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val OTHER_LOOPBACK = "127.0.0.2"
@@ -108,8 +94,7 @@
         const val READY_TIMEOUT_MS = 4_000L
         const val POLL_MS = 20L
         const val REQUESTS = 10
-        const val BODY_BYTES = 1_000
-        const val MAX_RESPONSE_BYTES = 10_000
+        const val TIMEOUT_MS = 5_000L
         const val WATCH_MS = 300L
 
         /** Long enough for the hosts to find each other and to exchange their loads. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/SyntheticTarget.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/SyntheticTarget.kt
@@ -7,9 +7,9 @@
 /** A target for rehearsals: streams ten events on [STREAM_PATH], and responds at once elsewhere. */
 internal object SyntheticTarget {
     const val STREAM_PATH = "/stream/"
+    const val MAX_BODY_BYTES = 2_000
     private const val OK = 200
     private const val EVENTS = 10
-    private const val MAX_BODY_BYTES = 2_000
 
     /**
      * Serves [connection] until the caller closes it.
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -19,14 +19,11 @@
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.ConnectionPool
-import org.bronzetide.http.Header
-import org.bronzetide.http.OutgoingRequest
 import org.bronzetide.http.TcpServer
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.CallerLimits
 import org.bronzetide.platform.fleet.Manifest
-import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.Route
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.Service
@@ -88,7 +85,11 @@
             launchAcceptor(target) { SyntheticTarget.serve(it) }
             launchAcceptor(entry) { CallerSession(it, dependencies).run() }
         }
-        repeat(requestCount) { sendRequest(pool, entry.port, it) }
+        val caller = SyntheticCaller(pool, entry.port, HOST, KEY)
+        repeat(requestCount) { index ->
+            val path = if (index % 2 == 0) SyntheticTarget.STREAM_PATH else PLAIN_PATH
+            caller.send(path, LIMIT_MS)
+        }
         servers.cancel()
     }
 
@@ -139,22 +140,6 @@
         }
     }
 
-    private suspend fun sendRequest(pool: ConnectionPool, port: Int, index: Int) {
-        val connection = pool.acquire(LOOPBACK, port)
-        val path = if (index % 2 == 0) SyntheticTarget.STREAM_PATH else PLAIN_PATH
-        val headers = listOf(
-            Header("Host", HOST),
-            Header(PlatformHeaders.REQUEST_ID, "rehearsal-$index"),
-            Header(PlatformHeaders.DEADLINE_MS, LIMIT_MS.toString()),
-            Header(PlatformHeaders.API_KEY, KEY),
-            Header(PlatformHeaders.TOKENS, "100,20")
-        )
-        connection.send(OutgoingRequest("POST", path, headers, ByteArray(BODY_BYTES)))
-        val response = connection.receive()
-        response.body.readAll(MAX_RESPONSE_BYTES)
-        pool.release(LOOPBACK, port, connection, response)
-    }
-
     private fun listen() = TcpServer(LOOPBACK, 0, loop)
 
     private object NoQuotas : AdmissionController.AccountQuotas {
@@ -172,8 +157,6 @@
         const val PLAIN = "plain"
         const val PLAIN_PATH = "/plain/"
         const val SLOTS = 4
-        const val BODY_BYTES = 2_000
-        const val MAX_RESPONSE_BYTES = 10_000
         const val LIMIT_MS = 5_000L
         val services = listOf(MODEL, PLAIN)
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -215,9 +215,7 @@
     }
 
     private fun refuse(ticket: FleetTicket, reason: String, nowMs: Long): FleetDecision {
-        val slots = targets.values
-            .filter { it.spec.service == ticket.service && !it.spec.isLeaving }
-            .sumOf { it.spec.slots }
+        val slots = targets.values.inService(ticket.service).sumOf { it.spec.slots }
         val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
         val retryAfterMs = overloadPolicyOf(ticket).retryAfterMs(ticket, ahead, slots, nowMs)
         return FleetDecision.Refuse(reason, retryAfterMs)
@@ -284,12 +282,12 @@
     }
 
     private fun usable(service: String, nowMs: Long): List<TargetLoad> {
-        val listed = targets.values.filter { it.spec.service == service && !it.spec.isLeaving }
+        val listed = targets.values.inService(service)
         return listed.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { listed }
     }
 
     private fun mayEject(service: String, nowMs: Long): Boolean {
-        val all = targets.values.filter { it.spec.service == service && !it.spec.isLeaving }
+        val all = targets.values.inService(service)
         val ejected = all.count { it.ejectedUntilMs > nowMs }
         return (ejected + 1) * MAX_EJECTED_DIVISOR <= all.size
     }
@@ -347,3 +345,7 @@
         const val MAX_EJECTED_DIVISOR = 2
     }
 }
+
+/** The targets of [service] that do not leave. */
+private fun Collection<TargetLoad>.inService(service: String): List<TargetLoad> =
+    filter { it.spec.service == service && !it.spec.isLeaving }
