Use a connection once for each request id, so that no copied refusal is believed

Cause: a request that was refused is sent to the same target again on the same connection. A late second copy of the refusal bears its id and was taken for the response to the second send. The same held for responses without an id, which match any request, and for requests without an id.

Change: a connection remembers the ids that it has carried and is not reused for one of them; a response without an id, or to a request without one, ends its connection. Every late response then bears a foreign id and is skipped.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -21,8 +21,10 @@
  * The end of a response that has neither a length nor chunks is the end of its connection, which a
  * crash of the target ends as well. Such a response is whole only if the target still listens.
  *
- * A connection is reused only after a response was read to its end. An abandoned connection is
- * closed, which tells the target that the response is no longer needed.
+ * A connection is reused only after a response was read to its end, and never for the same request
+ * again: targets may send a response twice, and the copy of a refusal would be taken for the
+ * response to the next send. An abandoned connection is closed, which tells the target that the
+ * response is no longer needed.
  */
 internal class TargetClient(private val pool: ConnectionPool, private val clock: MonotonicClock) {
     /**
@@ -61,7 +63,7 @@
             if (response.framing == Framing.UntilClose && hasCrashed(target)) {
                 throw IOException("target ended with its response")
             }
-            if (response.body.isComplete && !mayHaveUnreadBody(call, response)) {
+            if (response.isReleasable(call)) {
                 pool.release(target.address.host, target.address.port, connection, response)
                 isReleased = true
             }
@@ -92,12 +94,14 @@
 
     private suspend fun connect(call: Call, target: TargetEntry): HttpConnection {
         val address = target.address
+        // Without an id, a late response to an earlier request could not be told from its own.
+        val requestId = call.requestId ?: return pool.open(address.host, address.port)
         // The target may have closed an idle connection unnoticed. A request that is not safe to
         // retry would fail on it, so it gets only a connection that was in use a moment ago.
         return if (call.route.kind.isSafeToRetry) {
-            pool.acquire(address.host, address.port)
+            pool.acquire(address.host, address.port, requestId)
         } else {
-            pool.acquireFresh(address.host, address.port)
+            pool.acquireFresh(address.host, address.port, requestId)
         }
     }
 
@@ -172,6 +176,16 @@
         )
     }
 
+    /**
+     * Whether the connection may carry other requests after this response to [call]. A late second
+     * copy of the response is told from theirs by its id only, so a response without one ends the
+     * connection.
+     */
+    private fun IncomingResponse.isReleasable(call: Call): Boolean = body.isComplete &&
+        call.requestId != null &&
+        headers[PlatformHeaders.REQUEST_ID] != null &&
+        !mayHaveUnreadBody(call, this)
+
     /** Whether the target may have responded before it read the whole request body. */
     private fun mayHaveUnreadBody(call: Call, response: IncomingResponse): Boolean =
         call.body.size > SMALL_BODY_BYTES && response.status >= MIN_CLIENT_ERROR
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge
 
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -135,6 +136,41 @@
         assertThat(environment.ask("/safe/").body).isEqualTo("answer")
     }
 
+    /** Guards against runs that are refused or repeated because of a second copy of a refusal. */
+    @Example
+    fun lateCopyOfARefusalIsNotTakenForTheResponseToTheNextSend() =
+        assertThatRequestRunsOnce { request ->
+            listOf(Header("Request-Id", request.headers["Request-Id"].orEmpty()))
+        }
+
+    /** Guards against the same when the refusal does not say to which request it belongs. */
+    @Example
+    fun lateCopyOfARefusalWithoutIdIsNotTakenForTheResponseToAnotherRequest() =
+        assertThatRequestRunsOnce { emptyList() }
+
+    /** The only target refuses the first send, and copies the refusal while the second one runs. */
+    private fun assertThatRequestRunsOnce(idHeaders: (IncomingRequest) -> List<Header>) {
+        val runs = AtomicInteger()
+        val sends = AtomicInteger()
+        var refused: CallerConnection? = null
+        environment.startTarget("t1") { request, connection ->
+            val refusal = idHeaders(request) + Header("Not-Executed", "1")
+            if (sends.incrementAndGet() == 1) {
+                refused = connection
+                connection.send(503, refusal, ByteArray(0))
+                return@startTarget true
+            }
+            runs.incrementAndGet()
+            delay(30)
+            runCatching { refused?.send(503, refusal, ByteArray(0)) }
+            delay(200)
+            EdgeTestEnvironment.sendSignedResponse(request, connection)
+        }
+        startWithManifest()
+        assertThat(environment.ask("/unsafe/").status).isEqualTo(200)
+        assertThat(runs.get()).isEqualTo(1)
+    }
+
     @Example
     fun successWithoutSignatureBecomesBadGateway() {
         environment.startTarget("t1") { _, connection ->
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/ConnectionPool.kt
@@ -27,19 +27,30 @@
     /**
      * Returns a connection to [host] and [port], an idle one if there is one.
      *
+     * If a [requestId] is given, the connection has not carried a request with that id before, so
+     * that no response on it can belong to an earlier send of the same request.
+     *
      * @throws IOException if connecting fails or takes too long; nothing was sent then.
      */
-    public suspend fun acquire(host: String, port: Int): HttpConnection =
-        takeIdle(Endpoint(host, port)) ?: open(host, port)
+    public suspend fun acquire(host: String, port: Int, requestId: String? = null): HttpConnection =
+        (takeIdle(Endpoint(host, port), requestId) ?: open(host, port)).carrying(requestId)
 
     /** Like [acquire], but reuses only connections idle for less than [Policy.freshIdleMs]. */
-    public suspend fun acquireFresh(host: String, port: Int): HttpConnection {
-        val connection = takeIdle(Endpoint(host, port))
-        val isFresh = connection != null &&
-            clock.nowMs() - connection.idleSinceMs < policy.freshIdleMs
-        if (connection != null && isFresh) return connection
-        connection?.close()
-        return open(host, port)
+    public suspend fun acquireFresh(
+        host: String,
+        port: Int,
+        requestId: String? = null
+    ): HttpConnection {
+        val idle = takeIdle(Endpoint(host, port), requestId)
+        val isFresh = idle != null && clock.nowMs() - idle.idleSinceMs < policy.freshIdleMs
+        if (idle != null && !isFresh) idle.close()
+        val connection = if (idle != null && isFresh) idle else open(host, port)
+        return connection.carrying(requestId)
+    }
+
+    private fun HttpConnection.carrying(requestId: String?): HttpConnection {
+        requestId?.let(carriedRequests::add)
+        return this
     }
 
     /**
@@ -84,6 +95,7 @@
     ) {
         val isKept = response.body.isComplete &&
             response.framing != Framing.UntilClose &&
+            !connection.carriedRequests.isFull &&
             !response.headers.hasToken("Connection", "close")
         if (!isKept) return connection.close()
         connection.idleSinceMs = clock.nowMs()
@@ -122,10 +134,15 @@
         idle.keys.toList().forEach { evict(it.host, it.port) }
     }
 
-    private fun takeIdle(endpoint: Endpoint): HttpConnection? {
+    private fun takeIdle(endpoint: Endpoint, requestId: String?): HttpConnection? {
         val queue = idle[endpoint] ?: return null
         while (true) {
-            val connection = synchronized(queue) { queue.removeLastOrNull() } ?: return null
+            val connection = synchronized(queue) {
+                val index = queue.indexOfLast {
+                    requestId == null || requestId !in it.carriedRequests
+                }
+                if (index < 0) null else queue.removeAt(index)
+            } ?: return null
             if (isUsable(connection)) return connection
             connection.close()
         }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -36,6 +36,9 @@
     /** How long the server keeps an idle connection, in milliseconds, if it announces that. */
     internal var keepAliveMs: Long? = null
 
+    /** The requests sent on this connection so far. */
+    internal val carriedRequests = CarriedRequests()
+
     /** Whether the connection has carried a request before. */
     public var isReused: Boolean = false
         internal set
--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/ConnectionPoolTest.kt
@@ -39,6 +39,14 @@
         assertThat(pool.openedCount).isEqualTo(1)
     }
 
+    /** Guards against a response to an earlier send of a request being taken for its own. */
+    @Example
+    fun connectionThatCarriedARequestIsNotReusedForItsNextSend() = runBlocking {
+        exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", requestId = "a")
+        assertThat(pool.acquire(HOST, server.localPort, "a").isReused).isFalse()
+        assertThat(pool.acquireFresh(HOST, server.localPort, "b").isReused).isTrue()
+    }
+
     @Example
     fun connectionThatWasResetWhileIdleIsNotReused() = runBlocking {
         val socket = exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -95,8 +103,8 @@
     }
 
     /** Sends a request, responds with [response], and returns the server's socket. */
-    private suspend fun exchange(response: String): Socket {
-        val connection = pool.acquire(HOST, server.localPort)
+    private suspend fun exchange(response: String, requestId: String? = null): Socket {
+        val connection = pool.acquire(HOST, server.localPort, requestId)
         connection.send(OutgoingRequest("GET", "/", emptyList()))
         val socket = accepted.take()
         socket.getInputStream().read(ByteArray(1_000))
