--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
@@ -54,8 +54,9 @@
                 listAndWatch()
             } catch (cause: CancellationException) {
                 throw cause
-            } catch (cause: RuntimeException) {
-                // A malformed response must not end the watch of the store.
+            } catch (cause: Throwable) {
+                // Neither a malformed response nor an Error, such as a stack overflow, may end the
+                // watch of the store: nothing would start it again.
                 log.failure("store response not usable", cause, "kind" to kind)
                 onFailure(cause.toString())
             }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -365,6 +365,25 @@
         assertThat(environment.arrivals.map { it.headers["Expect-Replica"] }).containsOnly("t2")
     }
 
+    /** Guards against one foreign entry that ends the watch of all entries. */
+    @Example
+    fun targetThatLeavesAfterADeeplyNestedEntryGetsNoRequests() {
+        repeat(2) {
+            environment.startTarget("t$it") { request, connection ->
+                EdgeTestEnvironment.sendSignedResponse(request, connection)
+            }
+        }
+        startWithManifest()
+        val nested = "[".repeat(100_000) + "]".repeat(100_000)
+        environment.store.write("servers", "odd", """{"slots":"many","zone":$nested}""")
+        Thread.sleep(500)
+        environment.writeEntry("t1", "api", 1, "draining")
+        Thread.sleep(1_000)
+        environment.arrivals.clear()
+        repeat(10) { assertThat(environment.ask("/safe/").status).isEqualTo(200) }
+        assertThat(environment.arrivals.map { it.headers["Expect-Replica"] }).containsOnly("t0")
+    }
+
     @Example
     fun targetsDeadlineIsCappedByTheRoutesTimeout() {
         environment.startTarget("t1") { request, connection ->
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -3,11 +3,10 @@
 import java.util.TreeMap
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonUnquotedLiteral
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
@@ -16,7 +15,7 @@
 
 /** A stand-in for the platform's store with lists, watches, outages and compaction. */
 class StoreStandIn : AutoCloseable {
-    private class Entry(val revision: Long, val body: JsonObject?)
+    private class Entry(val revision: Long, val body: JsonElement?)
 
     private val kinds = HashMap<String, TreeMap<String, Entry>>()
     private var revision = 10L
@@ -48,11 +47,11 @@
     private val server = StandInServer { request, _, connection -> respond(request, connection) }
     val port: Int get() = server.port
 
-    /** Writes an object as its owner does. */
+    /** Writes an object as its owner does. [body] is sent as it is written. */
     @Synchronized
     fun write(kind: String, name: String, body: String) {
         kinds.getOrPut(kind) { TreeMap() }[name] =
-            Entry(++revision, Json.parseToJsonElement(body).jsonObject)
+            Entry(++revision, JsonUnquotedLiteral(body))
     }
 
     @Synchronized
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreWatcherTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreWatcherTest.kt
@@ -1,14 +1,21 @@
 package org.bronzetide.edge.state
 
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import net.jqwik.api.Example
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.standin.EdgeTestEnvironment
 import org.bronzetide.edge.standin.StoreStandIn
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.TrafficLoop
+import org.bronzetide.platform.fleet.Changes
 import org.bronzetide.platform.fleet.FleetStore
+import org.bronzetide.platform.fleet.Listing
 import org.bronzetide.platform.fleet.ObjectKinds
 import org.bronzetide.platform.fleet.SocketAddress
 import org.bronzetide.platform.fleet.StoreResult
@@ -51,6 +58,48 @@
         Unit
     }
 
+    /** Guards against an Error, such as a stack overflow, that ends the watch for good. */
+    @Example
+    fun watchGoesOnAfterAnErrorInIt() = StoreStandIn().use { standIn ->
+        standIn.write(ObjectKinds.TARGETS, "t1", "{}")
+        val listed = CompletableDeferred<Listing>()
+        val observer = object : StoreWatcher.Observer {
+            private var isFirst = true
+
+            override suspend fun onListing(listing: Listing) {
+                if (isFirst) {
+                    isFirst = false
+                    throw StackOverflowError()
+                }
+                listed.complete(listing)
+            }
+
+            override suspend fun onChanges(changes: Changes) = Unit
+        }
+        TrafficLoop().use { loop ->
+            val clock = MonotonicClock.System
+            val store = FleetStore(
+                ConnectionPool(loop, clock),
+                SocketAddress("127.0.0.1", standIn.port)
+            )
+            val watcher = StoreWatcher(
+                ObjectKinds.TARGETS,
+                store,
+                clock,
+                DecisionLog(clock),
+                EdgeMetrics(),
+                100,
+                observer
+            )
+            runBlocking {
+                val watch = launch { watcher.run() }
+                val listing = withTimeout(3_000) { listed.await() }
+                assertThat(listing.objects.map { it.name }).containsExactly("t1")
+                watch.cancel()
+            }
+        }
+    }
+
     @Example
     fun hostsOfLargeDeploymentsCallTheStoreLessOften() {
         assertThat(watchMs(5_000, 4_000)).isGreaterThan(2 * watchMs(3_000, 2_000))
