Read long events in linear time, and let others run while input is left

Cause: EventSplitter copied the unfinished event twice for each chunk, and a reader gave up the thread of all connections only when its socket was empty.

Change: unfinished events are kept in a growing buffer; a reader whose socket has more input lets the other coroutines run first. The events of one read are joined by one copy, for the same reason.

The two tests fail before: 6,972 ms of 500 for one long event, and 65,536 bytes read without a break where 16,384 are allowed.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
@@ -2,12 +2,20 @@
 
 import java.io.IOException
 
-/** Splits the bytes of a server-sent event stream into complete events with their blank lines. */
+/**
+ * Splits the bytes of a server-sent event stream into complete events with their blank lines.
+ *
+ * The work for each chunk is proportional to its length, however long the unfinished event is.
+ */
 internal class EventSplitter {
-    private var pending = ByteArray(0)
+    private var buffer = ByteArray(INITIAL_CAPACITY)
+    private var size = 0
 
     /** The bytes received since the last complete event. */
-    val incompleteEvent: ByteArray get() = pending
+    val incompleteEvent: ByteArray get() = buffer.copyOf(size)
+
+    /** Whether bytes have been received since the last complete event. */
+    val isWithinEvent: Boolean get() = size > 0
 
     /**
      * Adds [bytes] and returns the events that are complete now, in order.
@@ -15,32 +23,43 @@
      * @throws IOException if an event has more than [MAX_EVENT_BYTES] bytes.
      */
     fun feed(bytes: ByteArray): List<Event> {
-        val data = if (pending.isEmpty()) bytes else pending + bytes
+        var index = maxOf(0, size - MAX_PARTIAL_TERMINATOR_BYTES)
+        append(bytes)
         val events = ArrayList<Event>()
         var start = 0
-        var index = maxOf(0, pending.size - MAX_PARTIAL_TERMINATOR_BYTES)
-        while (index < data.size) {
-            val end = endOfEvent(data, index)
+        while (index < size) {
+            val end = endOfEvent(index)
             if (end > 0) {
-                events += Event(data.copyOfRange(start, end))
+                events += Event(buffer.copyOfRange(start, end))
                 start = end
                 index = end
             } else {
                 index++
             }
         }
-        pending = data.copyOfRange(start, data.size)
-        if (pending.size > MAX_EVENT_BYTES) {
-            throw IOException("event exceeds $MAX_EVENT_BYTES bytes")
-        }
+        dropFirst(start)
+        if (size > MAX_EVENT_BYTES) throw IOException("event exceeds $MAX_EVENT_BYTES bytes")
         return events
     }
 
+    private fun append(bytes: ByteArray) {
+        val needed = size + bytes.size
+        if (needed > buffer.size) buffer = buffer.copyOf(maxOf(needed, 2 * buffer.size))
+        bytes.copyInto(buffer, size)
+        size = needed
+    }
+
+    private fun dropFirst(count: Int) {
+        if (count == 0) return
+        buffer.copyInto(buffer, 0, count, size)
+        size -= count
+    }
+
     /** Returns the index after the blank line that begins at [index], or 0 if none does. */
-    private fun endOfEvent(data: ByteArray, index: Int): Int = when {
-        data[index] != LF -> 0
-        index + 1 < data.size && data[index + 1] == LF -> index + 2
-        index + 2 < data.size && data[index + 1] == CR && data[index + 2] == LF -> index + 3
+    private fun endOfEvent(index: Int): Int = when {
+        buffer[index] != LF -> 0
+        index + 1 < size && buffer[index + 1] == LF -> index + 2
+        index + 2 < size && buffer[index + 1] == CR && buffer[index + 2] == LF -> index + 3
         else -> 0
     }
 
@@ -62,6 +81,7 @@
     }
 
     private companion object {
+        const val INITIAL_CAPACITY = 4_096
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -67,7 +67,7 @@
             if (isNowKnown) onEventInterval((lastAtMs - firstAtMs).toDouble() / (runEvents - 1))
             sendToCaller(response, events)
         }
-        if (splitter.incompleteEvent.isNotEmpty()) throw IOException("stream ended within an event")
+        if (splitter.isWithinEvent) throw IOException("stream ended within an event")
         if (runEvents == 0 && response.framing == Framing.UntilClose) {
             throw IOException("stream ended before an event")
         }
@@ -99,7 +99,7 @@
         events: List<EventSplitter.Event>
     ) {
         if (!isStarted) startResponse(response)
-        caller.sendChunk(events.map { it.bytes }.reduce(ByteArray::plus))
+        caller.sendChunk(joined(events))
         val nowMs = clock.nowMs()
         if (eventCount == 0) {
             firstEventAtMs = nowMs
@@ -111,6 +111,15 @@
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
     }
 
+    private fun joined(events: List<EventSplitter.Event>): ByteArray {
+        val bytes = ByteArray(events.sumOf { it.bytes.size })
+        events.fold(0) { offset, event ->
+            event.bytes.copyInto(bytes, offset)
+            offset + event.bytes.size
+        }
+        return bytes
+    }
+
     private suspend fun startResponse(response: IncomingResponse) {
         caller.startResponse(response.status, response.headers.endToEnd())
         isStarted = true
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/EventSplitterProperties.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/EventSplitterProperties.kt
@@ -26,6 +26,16 @@
         assertThat(splitter.incompleteEvent.decodeToString()).isEqualTo("id: 7")
     }
 
+    /** Guards against an event without an end that stops the thread of all connections. */
+    @Example
+    fun longEventThatArrivesByteByByteTakesLittleTime() {
+        val splitter = EventSplitter()
+        val byte = byteArrayOf('x'.code.toByte())
+        val startNs = System.nanoTime()
+        repeat(262_144) { splitter.feed(byte) }
+        assertThat((System.nanoTime() - startNs) / 1_000_000).isLessThan(500)
+    }
+
     @Example
     fun eventWithoutIdFieldHasNullId() {
         val event = EventSplitter().feed("data: x\n\n".encodeToByteArray()).single()
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
 import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.yield
 import kotlinx.io.Buffer
 import kotlinx.io.Sink
 import kotlinx.io.Source
@@ -83,8 +84,9 @@
             while (buffer.size < min) {
                 closedCause?.let { throw it }
                 if (hasEnded) return false
-                // A read that did not fill the scratch buffer has left no input in the socket.
-                if (!mayHaveMoreInput) readiness.awaitReadable()
+                // A read that did not fill the scratch buffer has left no input in the socket. A
+                // peer that always has more must not keep the other coroutines from running.
+                if (mayHaveMoreInput) yield() else readiness.awaitReadable()
                 receive()
             }
             return true
--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.http
 
+import io.ktor.utils.io.readAvailable
 import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -51,6 +52,25 @@
         assertThat(withTimeout(5_000) { withContext(loop) { 1 } }).isEqualTo(1)
     }
 
+    /** Guards against one endless response that keeps all other requests waiting. */
+    @Example
+    fun peerThatHasMoreInputDoesNotKeepOtherCoroutinesWaiting() = connected { socket, peer ->
+        peer.getOutputStream().write(ByteArray(65_536))
+        delay(100)
+        withContext(loop) {
+            socket.input.awaitContent(1)
+            var receivedBytes = 0
+            val reading = launch {
+                val buffer = ByteArray(1_024)
+                while (receivedBytes < 65_536) {
+                    receivedBytes += socket.input.readAvailable(buffer, 0, buffer.size)
+                }
+            }
+            launch { assertThat(receivedBytes).isLessThanOrEqualTo(16_384) }.join()
+            reading.join()
+        }
+    }
+
     @Example
     fun cancelledReadLosesNoBytes() = connected { socket, peer ->
         val first = withTimeoutOrNull(50) { socket.input.awaitContent(1) }
