Judge crashes in linear time, and only when their evidence has changed

Cause: the search for a part that explains the crashes compared each part of all crashed runs with each other, on the control thread, every 50 ms and for each run and message. Evidence was also not limited in size, so that with long prompts the datagram that carries loads and quotas too was never sent.

Change: CrashAnalysis numbers the crashes and compares sets of them; evidence is judged when it changes, is complete or expires; runs are indexed by part; a message has at most 12,000 characters of parts.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetector.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetector.kt
@@ -16,6 +16,7 @@
  */
 public class PoisonPartDetector {
     private val runs = ArrayList<CrashedRun>()
+    private val runsByPart = HashMap<PromptPart, MutableList<CrashedRun>>()
     private val servedAtMs = BoundedMap<PromptPart, Long>(MAX_SERVED_PARTS)
 
     /** The ids of runs that were recorded, so that none is recorded again after it was dropped. */
@@ -26,6 +27,14 @@
     public var blocked: Map<PromptPart, Long> = emptyMap()
         private set
 
+    /** Whether evidence has come in or expired that no [update] has judged yet. */
+    private var hasNewEvidence = false
+
+    private var updatedAtMs: Long? = null
+
+    /** When evidence next becomes complete or expires, in milliseconds. */
+    private var nextChangeAtMs = Long.MAX_VALUE
+
     /** Increases with each piece of evidence from this host that others do not have. */
     public var revision: Long = 0
         private set
@@ -35,6 +44,10 @@
      * then what they know of its parts, in milliseconds.
      */
     public var settlingMs: Long = 0
+        set(value) {
+            if (value != field) hasNewEvidence = true
+            field = value
+        }
 
     /** Returns a blocked part among [parts], or `null` if there is none. */
     public fun findBlocked(parts: List<PromptPart>): PromptPart? =
@@ -44,7 +57,7 @@
     public fun onCrash(run: CrashedRun) {
         if (!record(run)) return
         revision++
-        update(run.endedAtMs)
+        updateUnlessRecent(run.endedAtMs)
     }
 
     /**
@@ -61,10 +74,16 @@
      */
     public fun evidence(minCrashes: Int = 1): CrashEvidence {
         val crashCounts = crashCounts()
+        var chars = 0
         val shared = runs.filter { crashCounts.of(it) >= minCrashes }
             .sortedByDescending { crashCounts.of(it) }.take(MAX_SHARED_RUNS)
-        val parts = shared.flatMapTo(HashSet()) { it.parts }
-        return CrashEvidence(shared, servedAtMs.filterKeys { it in parts })
+            .takeWhile { run ->
+                chars += run.parts.sumOf { it.id.length }
+                chars <= MAX_SHARED_CHARS
+            }
+        val served = LinkedHashMap<PromptPart, Long>()
+        for (run in shared) for (part in run.parts) servedAtMs[part]?.let { served[part] = it }
+        return CrashEvidence(shared, served)
     }
 
     /** Adds the evidence of another host and returns whether any of it was new. */
@@ -76,35 +95,79 @@
         }
         if (knowsMore) revision++
         if (added.isEmpty() && !isServedElsewhere) return false
-        update(nowMs)
+        updateUnlessRecent(nowMs)
         return true
     }
 
-    /** Drops evidence that is too old at [nowMs], and judges that which is complete by now. */
+    /**
+     * Drops evidence that is too old at [nowMs], and judges that which is complete by now. Takes no
+     * time while there is nothing new to judge.
+     */
     public fun update(nowMs: Long) {
-        if (runs.isEmpty()) return
+        if (!hasNewEvidence && nowMs < nextChangeAtMs) return
+        hasNewEvidence = false
+        updatedAtMs = nowMs
         runs.sortBy { it.endedAtMs }
-        runs.removeAll { isObsolete(it, nowMs) }
+        removeRuns(runs.filter { isObsolete(it, nowMs) })
         if (runs.size > MAX_RUNS) dropLeastSuspicious()
-        val judged = runs.filter { nowMs - it.endedAtMs >= settlingMs }
-        blocked = findPoisonParts(judged).associate { poison ->
-            keepProofOnly(poison, judged)
+        judge(runs.filter { nowMs - it.endedAtMs >= settlingMs })
+        nextChangeAtMs = runs.minOfOrNull { nextChangeOf(it, nowMs) } ?: Long.MAX_VALUE
+    }
+
+    /** In a burst of crashes, judges their evidence together and not run by run. */
+    private fun updateUnlessRecent(nowMs: Long) {
+        val lastMs = updatedAtMs
+        if (lastMs == null || nowMs - lastMs >= MIN_UPDATE_INTERVAL_MS) update(nowMs)
+    }
+
+    private fun judge(judged: List<CrashedRun>) {
+        val before = blocked
+        blocked = findPoisonParts(judged).associate { (poison, analysis) ->
+            keepProofOnly(poison, analysis)
             poison.part to poison.proof.last().endedAtMs + BLOCK_MS
         }
+        // A blocked part needs fewer crashes than before it was blocked.
+        if (blocked.keys != before.keys) hasNewEvidence = true
+    }
+
+    /** When [run] is next due: to be judged, or dropped. */
+    private fun nextChangeOf(run: CrashedRun, nowMs: Long): Long {
+        val judgedAtMs = run.endedAtMs + settlingMs
+        return if (judgedAtMs > nowMs) judgedAtMs else run.endedAtMs + retentionMs(run)
     }
 
+    private fun retentionMs(run: CrashedRun): Long =
+        if (findBlocked(run.parts) == null) SUSPICION_MS else BLOCK_MS
+
     /** Adds [run] unless it was added before; returns whether it is new. */
-    private fun record(run: CrashedRun): Boolean =
-        run.parts.isNotEmpty() && recordedIds.put(run.id, Unit) == null && runs.add(run)
+    private fun record(run: CrashedRun): Boolean {
+        if (run.parts.isEmpty() || recordedIds.put(run.id, Unit) != null) return false
+        runs += run
+        run.parts.forEach { runsByPart.getOrPut(it) { ArrayList() } += run }
+        hasNewEvidence = true
+        return true
+    }
+
+    private fun removeRuns(removed: Collection<CrashedRun>) {
+        if (removed.isEmpty()) return
+        val removedIds = removed.mapTo(HashSet()) { it.id }
+        runs.removeAll { it.id in removedIds }
+        removed.flatMapTo(HashSet()) { it.parts }.forEach { part ->
+            runsByPart.computeIfPresent(part) { _, left ->
+                left.apply { removeAll { it.id in removedIds } }.ifEmpty { null }
+            }
+        }
+    }
 
     /** Returns whether the response clears [part] of a crash that it was not cleared of. */
     private fun recordServed(part: PromptPart, beganAtMs: Long): Boolean {
         val lastServedAtMs = servedAtMs[part] ?: NEVER
         if (beganAtMs <= lastServedAtMs) return false
         servedAtMs[part] = beganAtMs
-        return runs.any {
-            part in it.parts && it.endedAtMs > lastServedAtMs && it.endedAtMs <= beganAtMs
-        }
+        val involved = runsByPart[part] ?: return false
+        val clears = involved.any { it.endedAtMs > lastServedAtMs && it.endedAtMs <= beganAtMs }
+        if (clears || lastServedAtMs == NEVER) hasNewEvidence = true
+        return clears
     }
 
     private fun isObsolete(run: CrashedRun, nowMs: Long): Boolean {
@@ -116,56 +179,43 @@
     /** Drops surplus runs; they may be recorded again when other crashes make them suspicious. */
     private fun dropLeastSuspicious() {
         val crashCounts = crashCounts()
-        val dropped = runs.sortedBy { crashCounts.of(it) }.take(runs.size - MAX_RUNS).toSet()
-        runs.removeAll(dropped)
+        val dropped = runs.sortedBy { crashCounts.of(it) }.take(runs.size - MAX_RUNS)
+        removeRuns(dropped)
         dropped.forEach { recordedIds.remove(it.id) }
     }
 
     private fun crashCounts(): Map<PromptPart, Int> =
-        suspectsIn(runs).associate { it.part to it.crashCount }
+        CrashAnalysis(runs, servedAtMs).suspects.associate { it.part to it.crashCount }
 
     private fun Map<PromptPart, Int>.of(run: CrashedRun): Int = run.parts.maxOf { this[it] ?: 0 }
 
-    private fun findPoisonParts(judged: List<CrashedRun>): List<CrashSuspect> {
-        val found = ArrayList<CrashSuspect>()
+    /** Returns the poison parts, each with the analysis of the crashes that it was found in. */
+    private fun findPoisonParts(judged: List<CrashedRun>): List<Pair<CrashSuspect, CrashAnalysis>> {
+        val found = ArrayList<Pair<CrashSuspect, CrashAnalysis>>()
         var unexplained = judged
         while (true) {
-            val suspects = suspectsIn(unexplained)
-            val next = suspects.firstOrNull { isPoison(it, suspects) } ?: return found
-            found += next
-            unexplained = unexplained.filterNot(next::explains)
+            val analysis = CrashAnalysis(unexplained, servedAtMs)
+            val next = analysis.suspects.filter { it.proof.size >= MIN_CRASHES }
+                .sortedWith(likeliestFirst).firstOrNull { isPoison(it, analysis) } ?: return found
+            found += next to analysis
+            unexplained = analysis.unexplainedBy(next)
         }
     }
 
-    /** The parts in [unexplained]; those never served come first, then those with most crashes. */
-    private fun suspectsIn(unexplained: List<CrashedRun>): List<CrashSuspect> =
-        unexplained.flatMapTo(LinkedHashSet()) { it.parts }
-            .map { part ->
-                CrashSuspect(part, unexplained.filter { part in it.parts }, servedAtMs[part])
-            }
-            .sortedWith(
-                compareBy<CrashSuspect> { it.isServed }.thenByDescending { it.crashCount }
-                    .thenByDescending { it.position }
-            )
-
-    private fun isPoison(suspect: CrashSuspect, all: List<CrashSuspect>): Boolean {
-        val others = all.filter { it.part != suspect.part && it.explainsAllOf(suspect) }
-        val isRivalled = others.any { it.isServed == suspect.isServed }
+    private fun isPoison(suspect: CrashSuspect, analysis: CrashAnalysis): Boolean {
         val minCrashes = when {
             suspect.part in blocked -> MIN_CRASHES
             suspect.isServed -> MIN_CRASHES_IF_SERVED
-            isRivalled -> MIN_CRASHES_IF_RIVALLED
+            analysis.isRivalled(suspect) -> MIN_CRASHES_IF_RIVALLED
             else -> MIN_CRASHES
         }
-        val isLikelier = others.any { it.isServed < suspect.isServed }
-        return !isLikelier && suspect.proof.size >= minCrashes
+        return suspect.proof.size >= minCrashes && !analysis.isUnlikely(suspect)
     }
 
     /** Drops the runs that [poison] explains, but for those that prove it to other hosts. */
-    private fun keepProofOnly(poison: CrashSuspect, judged: List<CrashedRun>) {
+    private fun keepProofOnly(poison: CrashSuspect, analysis: CrashAnalysis) {
         val proof = poison.proof.takeLast(MIN_CRASHES_IF_SERVED).toSet()
-        val dropped = judged.filter { poison.explains(it) && it !in proof }
-        runs.removeAll(dropped.toSet())
+        removeRuns(analysis.explainedBy(poison).filter { it !in proof })
     }
 
     private class BoundedMap<K, V>(private val maxSize: Int) : LinkedHashMap<K, V>() {
@@ -188,15 +238,26 @@
         /** Each further try may crash [MIN_CRASHES] targets or more. */
         const val BLOCK_MS = 600_000L
 
+        /** Well below the time that evidence takes to arrive. */
+        const val MIN_UPDATE_INTERVAL_MS = 20L
+
         /** The crashes of a second in a large fleet, with the runs on each target. */
         const val MAX_RUNS = 128
 
-        /** About 2.5 KB in a message to each host. */
+        /** About 2.5 KB in a message to each host, as prompts have a few shared parts. */
         const val MAX_SHARED_RUNS = 32
+
+        /** Bounds a message with long prompts to half of the largest datagram. */
+        const val MAX_SHARED_CHARS = 12_000
         const val MAX_RECORDED_IDS = 1_000
 
         /** About 0.5 MB; prompts have a few shared parts, most of them in many requests. */
         const val MAX_SERVED_PARTS = 4_000
         const val NEVER = Long.MIN_VALUE
+
+        /** Parts that were never served come first, then those with most crashes. */
+        val likeliestFirst = compareBy<CrashSuspect> { it.isServed }
+            .thenByDescending { it.crashCount }
+            .thenByDescending { it.position }
     }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetectorTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetectorTest.kt
@@ -210,6 +210,42 @@
         assertThat(blocked()).containsExactly("poison")
     }
 
+    /**
+     * Guards against hosts that stop while they judge the crashes of targets that served long
+     * prompts: the time grows with the number of parts, not with its square.
+     */
+    @Example
+    fun crashesOfRunsWithLongPromptsAreJudgedInLittleTime() {
+        val clearedParts = parts(*Array(20) { "system-$it" })
+        val startNs = System.nanoTime()
+        repeat(6) { crash ->
+            val endedAtMs = crash * 2_500L + 1_000
+            detector.onServed(clearedParts, endedAtMs - 500)
+            repeat(33) { run ->
+                val own = parts(*Array(43) { "part-${run % 11}-${crash % 2}-$it" })
+                detector.onCrash(
+                    CrashedRun(++runs, "t$crash-${run / 11}", clearedParts + own, 0, endedAtMs)
+                )
+                detector.update(endedAtMs + run)
+            }
+            repeat(40) { detector.update(endedAtMs + it * 50L) }
+        }
+        assertThat((System.nanoTime() - startNs) / 1_000_000).isLessThan(2_000)
+    }
+
+    /** Guards against messages that exceed the largest datagram and so reach no host. */
+    @Example
+    fun sharedEvidenceOnLongPromptsIsBounded() {
+        repeat(32) { crash ->
+            val ids = Array(63) { "$crash-$it-".padEnd(64, 'f') }
+            crash(crash * 100L, crash * 100L + 50, *ids)
+        }
+        val shared = detector.evidence().runs
+        assertThat(shared).isNotEmpty()
+        assertThat(shared.sumOf { run -> run.parts.sumOf { it.id.length } })
+            .isLessThanOrEqualTo(12_000)
+    }
+
     /** Guards against requests that pass while an earlier response is recorded. */
     @Example
     fun partStaysBlockedWhenAResponseThatBeganEarlierIsRecorded() {
