Leave a silent target only for one that has begun to respond

Cause: a target that had been silent for four event intervals was abandoned as soon as a retry was taken from the budget, before it was known whether another target would take the stream. If all others refused, failed or had left, or the route had moved, the stream was cut.

Change: another target is asked while the silent one is still listened to; what comes first is used. The silent one is closed when the other's head arrives, so that no request goes on at two targets. The same before the first event and for requests without a stream.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -51,7 +51,11 @@
     suspend fun forward(call: Call, caller: CallerConnection): ForwardingResult {
         val state = State(call, caller)
         val remainingMs = call.deadlineAtMs - clock.nowMs()
-        withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { runAttempts(state) }
+        try {
+            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { runAttempts(state) }
+        } finally {
+            state.takeReplacement()?.let(::drop)
+        }
         return finish(state)
     }
 
@@ -73,44 +77,68 @@
         var lastResult: SendResult? = null
         var isInFlight = false
 
-        /** Whether one retry has been taken from the budget ahead of the send that uses it. */
-        var hasReservedRetry = false
+        /** The target of the current send. */
+        var currentTargetId: String? = null
+
+        /** A run at another target that takes over from a silent one. */
+        var replacement: Replacement? = null
+
+        fun takeReplacement(): Replacement? = replacement.also { replacement = null }
     }
 
+    /** A run whose target has begun to respond, and the ticket that it was sent for. */
+    private class Replacement(
+        val ticketSequence: Long,
+        val beginning: TargetClient.Beginning.Responding
+    )
+
     private suspend fun runAttempts(state: State) {
         retryBudget.onRequest(state.call.service, clock.nowMs())
         while (true) {
-            when (val decision = awaitDecision(state)) {
+            val result = when (val decision = awaitDecision(state)) {
                 is FleetDecision.Refuse -> {
                     state.refusal = decision
                     return
                 }
 
-                is FleetDecision.Send -> {
-                    val result = send(state, decision)
-                    state.lastResult = result
-                    if (!mayRetry(state, result)) return
-                }
+                is FleetDecision.Send -> sendUntilReplaced(state, decision)
             }
+            state.lastResult = result
+            if (!mayRetry(state, result)) return
+        }
+    }
+
+    /** Sends the request, and goes on with each replacement for a silent target. */
+    private suspend fun sendUntilReplaced(state: State, decision: FleetDecision.Send): SendResult {
+        var result = send(state, decision)
+        while (true) {
+            val replacement = state.takeReplacement() ?: return result
+            state.possibleRuns++
+            state.ticketSequence = replacement.ticketSequence
+            result = complete(state, replacement.beginning)
         }
     }
 
     private suspend fun awaitDecision(state: State): FleetDecision {
+        val ticket = newTicket(state, state.avoid.toSet())
+        state.ticketSequence = ticket.sequence
+        return scheduler.awaitDecision(ticket)
+    }
+
+    private fun newTicket(state: State, avoid: Set<String>): FleetTicket {
         val call = state.call
-        state.ticketSequence = ticketSequences.incrementAndGet()
-        val ticket = FleetTicket(
-            state.ticketSequence,
+        return FleetTicket(
+            ticketSequences.incrementAndGet(),
             call.service,
             call.priority,
             call.metadata.promptTokens ?: 0,
             call.expectedEvents,
             dueAtMs = call.dueAtMs,
             startByMs = startByMs(state),
-            state.avoid.toSet(),
+            avoid,
             maxRetryAfterMs = (call.deadlineAtMs - clock.nowMs()) / RETRY_AFTER_DIVISOR,
             sharedParts = call.sharedParts
         )
-        return scheduler.awaitDecision(ticket)
     }
 
     /**
@@ -137,7 +165,6 @@
     }
 
     private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
-        val call = state.call
         val targetId = decision.targetId
         val target = findTarget(targetId)
         if (target == null) {
@@ -145,25 +172,51 @@
             state.avoid += targetId
             return SendResult.NotRun("target is gone")
         }
-        log.request(
-            "sent", call.requestId, "target" to targetId, "attempt" to state.sends + 1,
-            "route" to call.route.name, "account" to call.account?.name,
-            "priority" to call.priority, "dueInMs" to call.dueAtMs - clock.nowMs(),
-            "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
-            "predictedMs" to decision.firstEventMs, "promptTokens" to call.metadata.promptTokens,
-            "resumesAfter" to state.relay.lastEventId
-        )
-        state.sends++
+        onSend(state, decision)
+        state.isInFlight = true
+        state.currentTargetId = targetId
+        val policy = stallPolicy(state, decision.firstEventMs)
+        return awaitAttempt(state, targetId) {
+            val beginning = begin(state, target, state.ticketSequence, policy)
+            when (beginning) {
+                is TargetClient.Beginning.Ended -> beginning.attempt
+
+                is TargetClient.Beginning.Responding ->
+                    client.complete(state.call, beginning, state.relay, policy)
+            }
+        }
+    }
+
+    /** Completes the run that has replaced one at a silent target. */
+    private suspend fun complete(
+        state: State,
+        beginning: TargetClient.Beginning.Responding
+    ): SendResult {
         state.isInFlight = true
+        state.currentTargetId = beginning.target.id
+        return awaitAttempt(state, beginning.target.id) {
+            client.complete(state.call, beginning, state.relay, stallPolicy(state, 0))
+        }
+    }
+
+    private suspend fun begin(
+        state: State,
+        target: TargetEntry,
+        ticketSequence: Long,
+        policy: StallPolicy
+    ): TargetClient.Beginning = client.begin(state.call, target, state.relay.lastEventId, policy) {
+        scheduler.onReportedLoad(ticketSequence, it)
+    }
+
+    private suspend fun awaitAttempt(
+        state: State,
+        targetId: String,
+        block: suspend () -> TargetClient.Attempt
+    ): SendResult {
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
         val result = try {
-            val attempt = client.send(
-                call,
-                target,
-                state.relay,
-                stallPolicy(state, decision.firstEventMs)
-            ) { scheduler.onReportedLoad(state.ticketSequence, it) }
+            val attempt = block()
             outcome = attempt.outcome
             msPerEvent = attempt.msPerEvent
             state.isInFlight = false
@@ -175,6 +228,70 @@
         return result
     }
 
+    private fun onSend(state: State, decision: FleetDecision.Send, replacedTarget: String? = null) {
+        val call = state.call
+        state.sends++
+        log.request(
+            "sent", call.requestId, "target" to decision.targetId, "attempt" to state.sends,
+            "route" to call.route.name, "account" to call.account?.name,
+            "priority" to call.priority, "dueInMs" to call.dueAtMs - clock.nowMs(),
+            "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
+            "predictedMs" to decision.firstEventMs, "promptTokens" to call.metadata.promptTokens,
+            "resumesAfter" to state.relay.lastEventId, "whileSilent" to replacedTarget
+        )
+    }
+
+    /**
+     * Sends the request to another target while the current one is silent. Returns whether that one
+     * has begun to respond with success; then the run there is the replacement.
+     */
+    private suspend fun tryReplace(state: State): Boolean {
+        val call = state.call
+        val isLastRun = state.possibleRuns + 1 >= call.route.maxAttempts
+        if (isLastRun || state.sends >= MAX_SENDS) return false
+        if (!retryBudget.tryRetry(call.service, clock.nowMs())) return false
+        val current = state.currentTargetId
+        val ticket = newTicket(state, state.avoid + setOfNotNull(current))
+        val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
+        var outcome = FleetOutcome.CANCELLED
+        var mayHaveRun = false
+        try {
+            // A second run at the silent target would not help.
+            val target = findTarget(decision.targetId)?.takeIf { it.id != current } ?: return false
+            onSend(state, decision, current)
+            mayHaveRun = true
+            val beginning = begin(state, target, ticket.sequence, StallPolicy.WaitUntilDeadline)
+            when (beginning) {
+                is TargetClient.Beginning.Ended -> {
+                    val attempt = beginning.attempt
+                    outcome = attempt.outcome
+                    mayHaveRun = attempt.result !is SendResult.NotRun
+                    onSendFailed(state, target.id, outcome, attempt.result)
+                }
+
+                is TargetClient.Beginning.Responding -> if (beginning.response.status in SUCCESS) {
+                    state.replacement = Replacement(ticket.sequence, beginning)
+                } else {
+                    beginning.close()
+                    outcome = FleetOutcome.ERROR
+                    val result = SendResult.MayHaveRun("status ${beginning.response.status}")
+                    onSendFailed(state, target.id, outcome, result)
+                }
+            }
+            return state.replacement != null
+        } finally {
+            if (state.replacement == null) {
+                scheduler.release(ticket.sequence, outcome)
+                if (mayHaveRun) state.possibleRuns++
+            }
+        }
+    }
+
+    private fun drop(replacement: Replacement) {
+        replacement.beginning.close()
+        scheduler.release(replacement.ticketSequence, FleetOutcome.CANCELLED)
+    }
+
     private fun onSendFailed(
         state: State,
         targetId: String,
@@ -195,8 +312,8 @@
     }
 
     /**
-     * Returns whether to send the request again after [result], which takes a retry from the budget
-     * unless one is reserved. Counts the run if the target may have run the request.
+     * Returns whether to send the request again after [result], which takes a retry from the
+     * budget. Counts the run if the target may have run the request.
      */
     private fun mayRetry(state: State, result: SendResult): Boolean {
         val call = state.call
@@ -210,9 +327,7 @@
         if (mayHaveRun && !call.route.kind.isSafeToRetry) return false
         if (mayHaveRun && state.possibleRuns >= call.route.maxAttempts) return false
         if (state.sends >= MAX_SENDS) return false
-        val isAllowed =
-            state.hasReservedRetry || retryBudget.tryRetry(call.service, clock.nowMs())
-        state.hasReservedRetry = false
+        val isAllowed = retryBudget.tryRetry(call.service, clock.nowMs())
         if (!isAllowed) log.request("retry budget spent", call.requestId, "sends" to state.sends)
         return isAllowed
     }
@@ -231,10 +346,7 @@
         return StallPolicy.FailOver(
             firstEventTimeoutMs,
             maxOf(eventIntervalMs * STALL_EVENT_INTERVAL_FACTOR, MIN_STALL_TIMEOUT_MS)
-        ) {
-            state.hasReservedRetry = retryBudget.tryRetry(call.service, clock.nowMs())
-            state.hasReservedRetry
-        }
+        ) { tryReplace(state) }
     }
 
     private suspend fun finish(state: State): ForwardingResult {
@@ -295,6 +407,7 @@
     internal companion object {
         private val ticketSequences = java.util.concurrent.atomic.AtomicLong()
         private const val OK = 200
+        private val SUCCESS = 200..299
         private const val MIN_SERVER_ERROR = 500
         private const val BAD_GATEWAY = 502
         private const val UNAVAILABLE = 503
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StallPolicy.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StallPolicy.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Decides how long to wait for a target that sends nothing before another one is tried. */
@@ -22,25 +23,44 @@
     data object WaitUntilDeadline : StallPolicy()
 
     /**
-     * Abandons the target when it has sent nothing for [firstEventTimeoutMs] or [eventTimeoutMs]
-     * milliseconds and [tryReserveRetry] returns `true`. If it returns `false`, waits for another
-     * timeout and tries again, since a late response is worth more than none.
+     * Looks for another target when this one has sent nothing for [firstEventTimeoutMs] or
+     * [eventTimeoutMs] milliseconds.
+     *
+     * A sound target may fall silent for a while, so it is abandoned only once [replace] returns
+     * `true`: another one has begun to respond. Until then, what it sends is still used and
+     * cancels [replace]. If [replace] returns `false`, it is called again after another timeout.
      */
     class FailOver(
         val firstEventTimeoutMs: Long,
         val eventTimeoutMs: Long,
-        val tryReserveRetry: () -> Boolean
+        val replace: suspend () -> Boolean
     ) : StallPolicy()
 
     private suspend fun <T> FailOver.awaitOrFailOver(timeoutMs: Long, block: suspend () -> T): T =
         coroutineScope {
-            val work = async { block() }
+            // A failure must not cancel a replacement that is under way.
+            val work = async { runCatching { block() } }
             while (withTimeoutOrNull(timeoutMs) { work.join() } == null) {
-                if (tryReserveRetry()) throw TargetStalledException()
+                val replacement = async { replace() }
+                select {
+                    work.onJoin {}
+                    replacement.onJoin {}
+                }
+                val failure = if (work.isCompleted) work.await().exceptionOrNull() else null
+                if (work.isCompleted && failure == null) replacement.cancel()
+                replacement.join()
+                if (!replacement.isCancelled && replacement.await()) {
+                    work.cancel()
+                    throw TargetStalledException(failure)
+                }
             }
-            work.await()
+            work.await().getOrThrow()
         }
 }
 
-/** The target sent nothing for so long that the request is retried at another one. */
-internal class TargetStalledException : IOException("silent target")
+/**
+ * Another target has taken over from one that was silent, and that has also broken off meanwhile if
+ * there is a [cause].
+ */
+internal class TargetStalledException(cause: Throwable? = null) :
+    IOException(cause?.message ?: "silent target", cause)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -16,7 +16,8 @@
 import org.bronzetide.scheduling.fleet.FleetOutcome
 
 /**
- * Sends one request to one target and reads the response.
+ * Sends one request to one target and reads the response, in two steps: a target that is to replace
+ * a silent one takes over when it has begun to respond.
  *
  * The end of a response that has neither a length nor chunks is the end of its connection, which a
  * crash of the target ends as well. Such a response is whole only if the target still listens.
@@ -33,52 +34,107 @@
      */
     class Attempt(val result: SendResult, val outcome: FleetOutcome, val msPerEvent: Double = 0.0)
 
+    /** The beginning of a send. */
+    sealed class Beginning {
+        /** The target has begun to respond; [complete] reads the rest, unless it is closed. */
+        class Responding(
+            val target: TargetEntry,
+            val connection: HttpConnection,
+            val response: IncomingResponse
+        ) : Beginning(),
+            AutoCloseable {
+            override fun close() = connection.close()
+        }
+
+        /** The send has ended without a response to read. */
+        class Ended(val attempt: Attempt) : Beginning()
+    }
+
     /**
-     * Sends [call] to [target]. If [relay] has already relayed events, the stream is resumed after
-     * the last of them. [onLoad] gets what the target says about its load.
+     * Sends [call] to [target] and waits for the head of the response. A stream is resumed after
+     * the event [resumeAfterId], if there is one. [onLoad] gets what the target says about its
+     * load.
      */
-    suspend fun send(
+    suspend fun begin(
         call: Call,
         target: TargetEntry,
-        relay: StreamRelay,
+        resumeAfterId: Long?,
         stallPolicy: StallPolicy,
         onLoad: (ReportedLoad) -> Unit
-    ): Attempt {
+    ): Beginning {
         val connection = try {
             connect(call, target)
         } catch (_: ConnectException) {
-            return Attempt(SendResult.NotRun("refused connection"), FleetOutcome.GONE)
+            val result = SendResult.NotRun("refused connection")
+            return Beginning.Ended(Attempt(result, FleetOutcome.GONE))
         } catch (cause: IOException) {
-            return Attempt(
-                SendResult.NotRun("unreachable: ${cause.message}"),
-                FleetOutcome.UNREACHABLE
-            )
+            val result = SendResult.NotRun("unreachable: ${cause.message}")
+            return Beginning.Ended(Attempt(result, FleetOutcome.UNREACHABLE))
         }
-        var isReleased = false
+        var isOpen = false
         try {
-            connection.send(outgoing(call, target, relay))
+            connection.send(outgoing(call, target, resumeAfterId))
             val response = receiveMatching(call, connection, stallPolicy)
             ReportedLoad.of(response.headers)?.let(onLoad)
+            if (response.isRefusal) {
+                val attempt = readRefusal(response)
+                isOpen = tryRelease(call, target, connection, response)
+                return Beginning.Ended(attempt)
+            }
+            isOpen = true
+            return Beginning.Responding(target, connection, response)
+        } catch (cause: IOException) {
+            return Beginning.Ended(brokenOff(target, cause))
+        } finally {
+            if (!isOpen) connection.close()
+        }
+    }
+
+    /** Reads the rest of the response that [beginning] has begun, and relays it if it streams. */
+    suspend fun complete(
+        call: Call,
+        beginning: Beginning.Responding,
+        relay: StreamRelay,
+        stallPolicy: StallPolicy
+    ): Attempt {
+        val (target, response) = beginning.target to beginning.response
+        var isReleased = false
+        try {
             val attempt = read(call, response, relay, stallPolicy)
             if (response.framing == Framing.UntilClose && hasCrashed(target)) {
                 throw IOException("target ended with its response")
             }
-            if (response.isReleasable(call)) {
-                pool.release(target.address.host, target.address.port, connection, response)
-                isReleased = true
-            }
+            isReleased = tryRelease(call, target, beginning.connection, response)
             return attempt
-        } catch (cause: TargetStalledException) {
-            return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
         } catch (cause: IOException) {
-            pool.evict(target.address.host, target.address.port)
-            return Attempt(
-                SendResult.MayHaveRun("broke off: ${cause.message}"),
-                if (hasCrashed(target)) FleetOutcome.CRASHED else FleetOutcome.FAILED
-            )
+            return brokenOff(target, cause)
         } finally {
-            if (!isReleased) connection.close()
+            if (!isReleased) beginning.close()
+        }
+    }
+
+    /** Returns the connection to the pool if it may carry other requests. */
+    private fun tryRelease(
+        call: Call,
+        target: TargetEntry,
+        connection: HttpConnection,
+        response: IncomingResponse
+    ): Boolean {
+        if (!response.isReleasable(call)) return false
+        pool.release(target.address.host, target.address.port, connection, response)
+        return true
+    }
+
+    private suspend fun brokenOff(target: TargetEntry, cause: IOException): Attempt {
+        val isSilent = cause is TargetStalledException && cause.cause == null
+        if (isSilent) {
+            return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
         }
+        pool.evict(target.address.host, target.address.port)
+        return Attempt(
+            SendResult.MayHaveRun("broke off: ${cause.message}"),
+            if (hasCrashed(target)) FleetOutcome.CRASHED else FleetOutcome.FAILED
+        )
     }
 
     /** Whether nothing listens at the address of [target] any more. */
@@ -105,9 +161,8 @@
         }
     }
 
-    private fun outgoing(call: Call, target: TargetEntry, relay: StreamRelay): OutgoingRequest {
+    private fun outgoing(call: Call, target: TargetEntry, resumeAfterId: Long?): OutgoingRequest {
         val remainingMs = (call.deadlineAtMs - clock.nowMs()).coerceAtLeast(1)
-        val resumeAfterId = relay.lastEventId
         val headers = call.request.headers.endToEnd().filterTo(ArrayList()) {
             it.name.lowercase() !in PlatformHeaders.reservedHeaders &&
                 (resumeAfterId == null || !it.name.equals(PlatformHeaders.LAST_EVENT_ID, true))
@@ -137,21 +192,22 @@
         throw IOException("answers to other requests")
     }
 
+    private val IncomingResponse.isRefusal: Boolean
+        get() = status == MISDIRECTED || headers[PlatformHeaders.NOT_EXECUTED] != null
+
+    private suspend fun readRefusal(response: IncomingResponse): Attempt {
+        response.body.readAll(MAX_RESPONSE_BYTES)
+        val outcome =
+            if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
+        return Attempt(SendResult.NotRun("target refused, ${response.status}"), outcome)
+    }
+
     private suspend fun read(
         call: Call,
         response: IncomingResponse,
         relay: StreamRelay,
         stallPolicy: StallPolicy
     ): Attempt {
-        val isRefusal =
-            response.status == MISDIRECTED ||
-                response.headers[PlatformHeaders.NOT_EXECUTED] != null
-        if (isRefusal) {
-            response.body.readAll(MAX_RESPONSE_BYTES)
-            val outcome =
-                if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
-            return Attempt(SendResult.NotRun("target refused, ${response.status}"), outcome)
-        }
         if (call.route.kind is RouteKind.Streaming && response.status in 200..299) {
             if (response.headers[PlatformHeaders.SIGNATURE] == null) {
                 throw IOException("stream without signature")
