Serve a request that has arrived when its idle connection is to be closed

A caller whose request arrived just as the idle time of its connection ended, or as idle connections were closed for a stop, found it closed without an answer (LOST). After a change of the configuration that lengthened the idle time, connections were still closed by the shorter one.

Cause: timers run before sockets are read, so a busy process sees the timeout first; and the limit was read when the connection became idle.

Change: the socket is read once more before an idle connection is closed, and the limit in force at that time decides.

Evidence: three of the four tests of IdleConnectionTest fail before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -63,8 +63,8 @@
     }
 
     private suspend fun serveNext(): Boolean {
+        if (!awaitRequest()) return false
         val limits = dependencies.limits()
-        if (!awaitRequest(limits.idleTimeoutMs)) return false
         val arrivedAtMs = dependencies.clock.nowMs()
         val request = withTimeoutOrNull(limits.headerTimeoutMs) {
             connection.receive() ?: failOnEndOfInput()
@@ -77,24 +77,25 @@
     }
 
     /**
-     * Waits for the first byte of a request. Returns `false` if the connection was idle for
-     * [idleTimeoutMs] milliseconds, was closed by the caller, or is closed for the drain.
+     * Waits for the first byte of a request. Returns `false` if the connection was idle for the
+     * limit that is in force then, was closed by the caller, or is closed for the drain. A request
+     * that has arrived by then is served.
      */
-    private suspend fun awaitRequest(idleTimeoutMs: Long): Boolean = coroutineScope {
+    private suspend fun awaitRequest(): Boolean = coroutineScope {
+        val sinceMs = dependencies.clock.nowMs()
         val arrival = async { connection.awaitRequest() }
         val idleCloser = launch {
             dependencies.inFlightRequests.awaitIdleClose()
             arrival.cancel()
         }
-        val hasRequest = try {
-            withTimeoutOrNull(idleTimeoutMs) { arrival.await() } ?: false
-        } catch (cause: CancellationException) {
-            if (!arrival.isCancelled) throw cause
-            false
+        while (!arrival.isCompleted) {
+            val idleMs = dependencies.clock.nowMs() - sinceMs
+            val remainingMs = dependencies.limits().idleTimeoutMs - idleMs
+            if (remainingMs <= 0) arrival.cancel()
+            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { arrival.join() }
         }
-        arrival.cancel()
         idleCloser.cancel()
-        hasRequest
+        if (arrival.isCancelled) connection.hasInput else arrival.await()
     }
 
     private suspend fun serve(
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -35,6 +35,9 @@
     /** Waits for the first byte of a request; returns `false` if the caller has closed instead. */
     public suspend fun awaitRequest(): Boolean = !input.exhausted()
 
+    /** Whether bytes of a request have arrived, received or not. */
+    public val hasInput: Boolean get() = socket.hasInput
+
     /** Waits until the caller closes and returns `true`; `false` if it sends more bytes instead. */
     public suspend fun awaitClose(): Boolean = try {
         input.exhausted()
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -57,6 +57,15 @@
             false
         }
 
+    /** Whether there is unread input; tested by a read. */
+    internal val hasInput: Boolean
+        get() = try {
+            !reader.isEmpty || (channel.isOpen && reader.receive() > 0)
+        } catch (_: IOException) {
+            // The connection was reset while idle.
+            false
+        }
+
     override fun close() {
         channel.close()
         readiness.close()
