--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -6,6 +6,7 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
+import java.net.UnknownHostException
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
 import jdk.net.ExtendedSocketOptions
@@ -189,6 +190,7 @@
             loop: TrafficLoop,
             isProbed: Boolean = false
         ): TcpSocket {
+            if (address.isUnresolved) throw UnknownHostException(address.hostString)
             val channel = SocketChannel.open()
             var isConnected = false
             try {
