Do not let a run without events complete a cut stream

Cause: only a response that ends with its connection had to bring an event; an empty one with a length of 0, or empty chunks, counted as the rest.

Change: a run that resumes a stream must add an event with content, otherwise it has broken off and the caller sees the cut.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -44,14 +44,16 @@
      * there were too few events to tell.
      *
      * @throws IOException if the connection to the target or the caller breaks, or if the stream
-     * ends within an event, or before one and only with its connection.
+     * ends within an event, or before one: only with its connection, or although it is resumed.
      * @throws TargetStalledException if [stallPolicy] abandons the target.
      */
     suspend fun relayResponse(response: IncomingResponse, stallPolicy: StallPolicy): Double {
         val splitter = EventSplitter()
+        val isResumed = isStarted
         var firstAtMs = 0L
         var lastAtMs = 0L
         var runEvents = 0
+        var hasContent = false
         while (true) {
             val events =
                 stallPolicy.await(isFirst = runEvents == 0) { readEvents(response, splitter) }
@@ -64,11 +66,13 @@
             val isNowKnown =
                 runEvents <= MIN_INTERVALS && runEvents + events.size > MIN_INTERVALS
             runEvents += events.size
+            hasContent = hasContent || events.any { it.hasContent }
             if (isNowKnown) onEventInterval((lastAtMs - firstAtMs).toDouble() / (runEvents - 1))
             sendToCaller(response, events)
         }
         if (splitter.isWithinEvent) throw IOException("stream ended within an event")
-        if (runEvents == 0 && response.framing == Framing.UntilClose) {
+        // What was cut is not complete because another run has nothing to add.
+        if (!hasContent && (isResumed || response.framing == Framing.UntilClose)) {
             throw IOException("stream ended before an event")
         }
         if (!isStarted) startResponse(response)
