Let no Error of one connection, task or datagram end what serves the others

Cause: sessions were children of the coroutine that accepts, and only exceptions were caught, so an Error cancelled accepting and all sessions. The same in the traffic loop, whose thread an Error of a task ended, and in the thread that receives datagrams, which any exception but an IOException ended.

Change: sessions run beside the accepting under the node's supervisor; the acceptor, the loop and the receiver go on after whatever is thrown, and log it.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
@@ -10,7 +10,10 @@
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.SocketAddress
 
-/** Accepts connections at [address] and serves each in a coroutine of its own. */
+/**
+ * Accepts connections at [address] and serves each in a coroutine of its own. No failure of one
+ * connection, be it an Error such as exhausted memory, ends another one or the accepting.
+ */
 internal class ConnectionAcceptor(
     private val loop: TrafficLoop,
     private val address: SocketAddress,
@@ -23,7 +26,7 @@
     private var isOpen = true
 
     /**
-     * Binds [address] and accepts connections in [scope].
+     * Binds [address] and accepts connections in [scope], whose job must be a supervisor.
      *
      * @throws IOException if the address cannot be bound.
      */
@@ -34,7 +37,9 @@
             while (isOpen) {
                 val socket = try {
                     bound.accept()
-                } catch (cause: IOException) {
+                } catch (cause: CancellationException) {
+                    throw cause
+                } catch (cause: Throwable) {
                     if (!isOpen) break
                     log.failure(
                         "could not accept a connection",
@@ -44,7 +49,7 @@
                     kotlinx.coroutines.delay(ACCEPT_RETRY_DELAY_MS)
                     continue
                 }
-                launch { serveConnection(socket) }
+                scope.launch { serveConnection(socket) }
             }
         }
     }
@@ -61,7 +66,7 @@
             throw cause
         } catch (_: IOException) {
             // The client's connection broke; the log line of the request states its outcome.
-        } catch (cause: RuntimeException) {
+        } catch (cause: Throwable) {
             log.failure("unexpected failure while serving a connection", cause)
         } finally {
             socket.close()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -52,7 +52,8 @@
                 decode(ByteArray(buffer.remaining()).also(buffer::get), sender.hostString)
             } catch (_: ClosedChannelException) {
                 return
-            } catch (cause: IOException) {
+            } catch (cause: Throwable) {
+                // Nothing would start this thread again.
                 log.failure("receiving a datagram failed", cause)
             }
         }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.http
 
-import java.io.IOException
 import java.nio.channels.CancelledKeyException
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SelectionKey
@@ -100,8 +99,8 @@
                 } else {
                     selector.select(::onReady, waitMs)
                 }
-            } catch (cause: IOException) {
-                log.error("select on sockets failed", cause)
+            } catch (cause: Throwable) {
+                logFailure("select on sockets failed", cause)
             }
             isSelecting.set(false)
         }
@@ -120,11 +119,17 @@
         }
     }
 
-    @Suppress("TooGenericExceptionCaught") // The loop must survive any exception of a task.
+    /** Runs [task]; the loop survives whatever it throws, since nothing would start it again. */
     private fun runTask(task: Runnable) = try {
         task.run()
-    } catch (cause: Exception) {
-        log.error("task on the traffic loop failed", cause)
+    } catch (cause: Throwable) {
+        logFailure("task on the traffic loop failed", cause)
+    }
+
+    private fun logFailure(message: String, cause: Throwable) = try {
+        log.error(message, cause)
+    } catch (_: OutOfMemoryError) {
+        // Logging needs memory, too.
     }
 
     /** The milliseconds until the next timer is due, or [FOREVER_MS] without a timer. */
