Bound the memory of the request bodies in progress

Cause: bodies were held without a bound on their sum, in several copies each.

Change: bodies over 128 KiB and those over 4 KiB have a budget each, as a share of the heap. What does not fit waits unread, in order, for up to 0.8 s, and is then refused with a true 503 and Retry-After. A body of known length is read into one array and sent in parts.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -15,6 +15,7 @@
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.entry.AdmissionController
+import org.bronzetide.edge.entry.BodyBudget
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.ConnectionAcceptor
 import org.bronzetide.edge.entry.ControlServer
@@ -77,6 +78,7 @@
     private val targetRegistry =
         TargetRegistry(board, control, clock, log, settings.bounds.stabilizationMs)
     private val inFlightRequests = InFlightRequests()
+    private val bodies = BodyBudget.ofHeap()
     private val quotaLimiter = QuotaLimiter()
     private val peerClient = PeerStateClient(pool, settings.controlAddress.port)
     private val peers = PeerSocket(
@@ -128,6 +130,7 @@
         forwarder,
         { manifest()?.limits ?: CallerLimits() },
         inFlightRequests,
+        bodies,
         log,
         metrics
     )
@@ -188,6 +191,7 @@
             scheduler.poisonParts.blocked.size
         }
         metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
+        metrics.gauge("bronzetide.edge.bodies.held.bytes") { bodies.heldBytes }
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
         scope.launch { bootstrapFromPeers() }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -10,6 +10,7 @@
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.entry.AdmissionController
+import org.bronzetide.edge.entry.BodyBudget
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.InFlightRequests
 import org.bronzetide.edge.forwarding.RequestForwarder
@@ -115,6 +116,7 @@
             forwarder,
             { CallerLimits() },
             InFlightRequests(),
+            BodyBudget.ofHeap(),
             log,
             metrics
         )
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -1,12 +1,15 @@
 package org.bronzetide.edge.entry
 
 import java.io.IOException
+import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.forwarding.Admission
@@ -36,6 +39,7 @@
         val forwarder: RequestForwarder,
         val limits: () -> CallerLimits,
         val inFlightRequests: InFlightRequests,
+        val bodies: BodyBudget,
         val log: DecisionLog,
         val metrics: EdgeMetrics
     )
@@ -111,27 +115,57 @@
         }
         if (request.headers["Expect"] != null) connection.sendContinue()
         val bodyTimeoutMs = RequestMetadata.of(request.headers).timeoutMs ?: limits.idleTimeoutMs
-        val body = withTimeoutOrNull(bodyTimeoutMs) { request.body.readAll(limits.maxBodyBytes) }
-        if (body == null) {
+        val maxWaitMs = minOf(MAX_BODY_WAIT_MS, bodyTimeoutMs / BODY_WAIT_DIVISOR)
+        val body = try {
+            withTimeout(bodyTimeoutMs) {
+                dependencies.bodies.read(request.body, limits.maxBodyBytes, maxWaitMs)
+            }
+        } catch (_: TimeoutCancellationException) {
             refuseAndClose(REQUEST_TIMEOUT)
             return false
         }
-        return when (
-            val admission = dependencies.admissionController.admit(
-                request,
-                body,
-                arrivedAtMs
-            )
-        ) {
+        if (body == null) {
+            refuseBody(request, limits, bodyTimeoutMs, arrivedAtMs)
+            return false
+        }
+        return body.use { serve(request, it.bytes, arrivedAtMs) }
+    }
+
+    private suspend fun serve(
+        request: IncomingRequest,
+        body: ByteArray,
+        arrivedAtMs: Long
+    ): Boolean {
+        val admission = dependencies.admissionController.admit(request, body, arrivedAtMs)
+        return when (admission) {
             is Admission.Refused -> refuse(request, admission, arrivedAtMs)
             is Admission.Admitted -> forward(admission.call)
         }
     }
 
+    /** Refuses a request whose body has no place in memory, after its caller has sent it. */
+    private suspend fun refuseBody(
+        request: IncomingRequest,
+        limits: CallerLimits,
+        bodyTimeoutMs: Long,
+        arrivedAtMs: Long
+    ) {
+        // Callers read the response once they have sent the body.
+        withTimeoutOrNull(bodyTimeoutMs) { request.body.skip(limits.maxBodyBytes) }
+        val refusal = Admission.Refused(
+            UNAVAILABLE,
+            "body budget",
+            BODY_RETRY_AFTER_MS + Random.nextLong(BODY_RETRY_AFTER_MS),
+            logFields = listOf("heldBytes" to dependencies.bodies.heldBytes)
+        )
+        refuse(request, refusal, arrivedAtMs, mayKeepAlive = false)
+    }
+
     private suspend fun refuse(
         request: IncomingRequest,
         refusal: Admission.Refused,
-        arrivedAtMs: Long
+        arrivedAtMs: Long,
+        mayKeepAlive: Boolean = true
     ): Boolean {
         val id = RequestMetadata.of(request.headers).requestId
         dependencies.log.request(
@@ -143,7 +177,8 @@
             "path" to request.path,
             *refusal.logFields.toTypedArray()
         )
-        val keepAlive = request.isKeepAlive && !dependencies.inFlightRequests.isDraining
+        val keepAlive =
+            mayKeepAlive && request.isKeepAlive && !dependencies.inFlightRequests.isDraining
         val headers = RequestForwarder.refusalHeaders(id, refusal.retryAfterMs)
         connection.send(refusal.status, headers + connectionHeader(keepAlive), ByteArray(0))
         val tookMs = dependencies.clock.nowMs() - arrivedAtMs
@@ -214,6 +249,14 @@
 
     private companion object {
         const val BAD_REQUEST = 400
+        const val UNAVAILABLE = 503
+
+        /** Callers give up what has not been read after a second or a third of their time. */
+        const val MAX_BODY_WAIT_MS = 800L
+        const val BODY_WAIT_DIVISOR = 4
+
+        /** A large body takes about half a second to arrive; refused callers are spread. */
+        const val BODY_RETRY_AFTER_MS = 500L
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/IdleConnectionTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/IdleConnectionTest.kt
@@ -2,62 +2,21 @@
 
 import java.net.Socket
 import kotlin.coroutines.EmptyCoroutineContext
-import kotlin.random.Random
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.launch
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
 import org.assertj.core.api.Assertions.assertThat
-import org.bronzetide.coordination.ControlLoop
-import org.bronzetide.coordination.MonotonicClock
-import org.bronzetide.edge.forwarding.RequestForwarder
-import org.bronzetide.edge.forwarding.SchedulerAdapter
-import org.bronzetide.edge.forwarding.TargetClient
-import org.bronzetide.edge.telemetry.DecisionLog
-import org.bronzetide.edge.telemetry.EdgeMetrics
-import org.bronzetide.http.CallerConnection
-import org.bronzetide.http.ConnectionPool
-import org.bronzetide.http.TcpServer
-import org.bronzetide.http.TrafficLoop
-import org.bronzetide.platform.fleet.Account
+import org.bronzetide.edge.standin.SessionServer
 import org.bronzetide.platform.fleet.CallerLimits
-import org.bronzetide.platform.fleet.Manifest
-import org.bronzetide.scheduling.fleet.FleetScheduler
-import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /**
  * When idle connections of callers are closed. Guards against requests that were read and whose
  * connection is closed without an answer. Without routes, each request is answered with 404.
  */
 class IdleConnectionTest {
-    private val clock = MonotonicClock.System
-    private val loop = TrafficLoop()
-    private val control = ControlLoop(clock)
-    private val pool = ConnectionPool(loop, clock)
-    private val server = TcpServer("127.0.0.1", 0, loop)
-    private val scope = CoroutineScope(SupervisorJob() + loop)
-    private val inFlightRequests = InFlightRequests()
-
-    @Volatile
-    private var limits = CallerLimits(idleTimeoutMs = 300)
-
-    init {
-        scope.launch {
-            while (true) {
-                val connection = CallerConnection(server.accept())
-                launch { CallerSession(connection, dependencies()).run() }
-            }
-        }
-    }
+    private val server = SessionServer()
 
     @AfterTry
-    fun close() {
-        server.close()
-        pool.close()
-        control.close()
-        loop.close()
-    }
+    fun close() = server.close()
 
     @Example
     fun requestThatArrivesAtTheIdleTimeoutIsAnswered() = connected { socket ->
@@ -71,14 +30,14 @@
     fun requestThatArrivesWhenIdleConnectionsAreClosedForAStopIsAnswered() = connected { socket ->
         blockLoop(200)
         Thread.sleep(50)
-        inFlightRequests.closeIdleConnections()
+        server.inFlightRequests.closeIdleConnections()
         assertThat(statusOf(socket)).isEqualTo("404")
     }
 
     @Example
     fun longerIdleTimeoutHoldsForConnectionsThatAreIdle() = connected { socket ->
         Thread.sleep(100)
-        limits = CallerLimits(idleTimeoutMs = 5_000)
+        server.limits = CallerLimits(idleTimeoutMs = 5_000)
         Thread.sleep(500)
         assertThat(statusOf(socket)).isEqualTo("404")
     }
@@ -96,7 +55,8 @@
         }
 
     /** Keeps the thread of all connections busy, so that what happens meanwhile is seen at once. */
-    private fun blockLoop(ms: Long) = loop.dispatch(EmptyCoroutineContext) { Thread.sleep(ms) }
+    private fun blockLoop(ms: Long) =
+        server.loop.dispatch(EmptyCoroutineContext) { Thread.sleep(ms) }
 
     /** Sends a request and returns the status of the response, or what arrived in its place. */
     private fun statusOf(socket: Socket): String {
@@ -104,34 +64,4 @@
         val line = socket.getInputStream().bufferedReader().readLine() ?: return "closed"
         return line.split(' ')[1]
     }
-
-    private fun dependencies(): CallerSession.Dependencies {
-        val log = DecisionLog(clock)
-        val metrics = EdgeMetrics()
-        val manifest = Manifest(1, emptyList(), emptyMap(), emptyList(), limits)
-        val quotas = object : AdmissionController.AccountQuotas {
-            override suspend fun tryConsume(account: Account, units: Long): Long? = null
-
-            override fun refund(account: Account, units: Long) = Unit
-        }
-        val scheduler = SchedulerAdapter(control, clock, FleetScheduler("z1", Random.Default))
-        val budget = WindowedRetryBudget(0.0, 0.0, 1_000) { 1 }
-        return CallerSession.Dependencies(
-            clock,
-            AdmissionController({ manifest }, quotas),
-            RequestForwarder(
-                scheduler,
-                TargetClient(pool, clock),
-                clock,
-                budget,
-                { null },
-                log,
-                metrics
-            ),
-            { limits },
-            inFlightRequests,
-            log,
-            metrics
-        )
-    }
 }
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -0,0 +1,96 @@
+package org.bronzetide.edge.standin
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import org.bronzetide.coordination.ControlLoop
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.entry.AdmissionController
+import org.bronzetide.edge.entry.BodyBudget
+import org.bronzetide.edge.entry.CallerSession
+import org.bronzetide.edge.entry.InFlightRequests
+import org.bronzetide.edge.forwarding.RequestForwarder
+import org.bronzetide.edge.forwarding.SchedulerAdapter
+import org.bronzetide.edge.forwarding.TargetClient
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.edge.telemetry.EdgeMetrics
+import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.ConnectionPool
+import org.bronzetide.http.TcpServer
+import org.bronzetide.http.TrafficLoop
+import org.bronzetide.platform.fleet.Account
+import org.bronzetide.platform.fleet.CallerLimits
+import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.WindowedRetryBudget
+
+/**
+ * Serves callers' sessions without routes, so that each request that is read is answered with 404.
+ * [beforeAdmission] runs when a request and its body have been read.
+ */
+internal class SessionServer(
+    private val bodies: BodyBudget = BodyBudget.ofHeap(),
+    private val beforeAdmission: suspend () -> Unit = {}
+) : AutoCloseable {
+    private val clock = MonotonicClock.System
+    private val control = ControlLoop(clock)
+    val loop = TrafficLoop()
+    private val pool = ConnectionPool(loop, clock)
+    private val server = TcpServer("127.0.0.1", 0, loop)
+    private val scope = CoroutineScope(SupervisorJob() + loop)
+    val port: Int = server.port
+    val inFlightRequests = InFlightRequests()
+
+    @Volatile
+    var limits = CallerLimits(idleTimeoutMs = 300)
+
+    init {
+        scope.launch {
+            while (true) {
+                val connection = CallerConnection(server.accept())
+                launch { CallerSession(connection, dependencies()).run() }
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        pool.close()
+        control.close()
+        loop.close()
+    }
+
+    private fun dependencies(): CallerSession.Dependencies {
+        val log = DecisionLog(clock)
+        val metrics = EdgeMetrics()
+        val scheduler = SchedulerAdapter(control, clock, FleetScheduler("z1", Random.Default))
+        val budget = WindowedRetryBudget(0.0, 0.0, 1_000) { 1 }
+        val client = TargetClient(pool, clock)
+        return CallerSession.Dependencies(
+            clock,
+            admissionController(),
+            RequestForwarder(scheduler, client, clock, budget, { null }, log, metrics),
+            { limits },
+            inFlightRequests,
+            bodies,
+            log,
+            metrics
+        )
+    }
+
+    /** Finds the manifest only after [beforeAdmission]. */
+    private fun admissionController(): AdmissionController {
+        var manifest: Manifest? = null
+        return AdmissionController({ manifest }, Unlimited) {
+            beforeAdmission()
+            manifest = Manifest(1, emptyList(), emptyMap(), emptyList(), limits)
+        }
+    }
+
+    private object Unlimited : AdmissionController.AccountQuotas {
+        override suspend fun tryConsume(account: Account, units: Long): Long? = null
+
+        override fun refund(account: Account, units: Long) = Unit
+    }
+}
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -61,7 +61,12 @@
         }
         builder.emptyLine()
         output.writePacket(builder.build())
-        if (request.body.isNotEmpty()) output.writeFully(request.body)
+        // Parts keep the copy of a large body in the output small.
+        for (start in request.body.indices step BODY_PART_BYTES) {
+            if (start > 0) output.flush()
+            val end = minOf(start + BODY_PART_BYTES, request.body.size)
+            output.writeFully(request.body, start, end)
+        }
         output.flush()
     }
 
@@ -104,6 +109,7 @@
 
     private companion object {
         const val FINAL_STATUS = 200
+        const val BODY_PART_BYTES = 65_536
         val statusesWithoutBody = setOf(204, 304)
     }
 }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -3,6 +3,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readLineStrict
+import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
 
@@ -54,6 +55,9 @@
     private var isInChunk = false
     private val buffer = ByteArray(BUFFER_BYTES)
 
+    /** The length of the body if it is known in advance. */
+    public val lengthBytes: Long? get() = (framing as? Framing.Length)?.bytes
+
     /** Whether the body has been read to its end. */
     public var isComplete: Boolean = framing is Framing.Length && remaining == 0L
         private set
@@ -73,13 +77,17 @@
     }
 
     /**
-     * Reads the whole body.
+     * Reads the whole body, or the rest of it after [first].
      *
      * @throws BodyTooLargeException if it has more than [maxBytes] bytes.
      * @throws IOException if the connection ends before the body does or a chunk is malformed.
      */
-    public suspend fun readAll(maxBytes: Int): ByteArray {
-        val body = java.io.ByteArrayOutputStream()
+    public suspend fun readAll(maxBytes: Int, first: ByteArray = ByteArray(0)): ByteArray {
+        val knownBytes = lengthBytes
+        if (knownBytes != null && knownBytes > maxBytes) throw BodyTooLargeException(maxBytes)
+        if (knownBytes != null && first.isEmpty()) return readExactly(knownBytes.toInt())
+        val body = ByteArrayOutputStream(maxOf(first.size, BUFFER_BYTES))
+        body.write(first)
         while (true) {
             val bytes = readAvailable() ?: return body.toByteArray()
             if (body.size() + bytes.size > maxBytes) throw BodyTooLargeException(maxBytes)
@@ -87,6 +95,41 @@
         }
     }
 
+    /**
+     * Reads until [minBytes] bytes or the end have been reached, and returns what was read.
+     *
+     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     */
+    public suspend fun readUpTo(minBytes: Int): ByteArray {
+        val body = ByteArrayOutputStream()
+        while (body.size() < minBytes) body.write(readAvailable() ?: break)
+        return body.toByteArray()
+    }
+
+    /**
+     * Reads the rest of the body and forgets it, up to [maxBytes] bytes. Returns whether its end
+     * was reached.
+     *
+     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     */
+    public suspend fun skip(maxBytes: Int): Boolean {
+        var skippedBytes = 0L
+        while (skippedBytes <= maxBytes) skippedBytes += (readAvailable() ?: return true).size
+        return false
+    }
+
+    /** Reads a body of [count] bytes into an array that grows as they arrive, to that size. */
+    private suspend fun readExactly(count: Int): ByteArray {
+        var body = ByteArray(minOf(count, BUFFER_BYTES))
+        var size = 0
+        while (true) {
+            val bytes = readAvailable() ?: return body
+            if (size + bytes.size > body.size) body = body.copyOf(minOf(count, body.size * 2))
+            bytes.copyInto(body, size)
+            size += bytes.size
+        }
+    }
+
     private suspend fun readCounted(): ByteArray? {
         val count = input.readAvailable(buffer, 0, minOf(remaining, BUFFER_BYTES.toLong()).toInt())
         if (count < 0) throw EOFException("connection closed within the body")
