Send nothing more to a target that says in a response that it leaves

Change: from the moment the head is read, that start of the target gets no request from this process, repeats and new connections included, whatever the store says or while it is down. Other values, and repeated headers, are no departure. Runs in progress go on.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -28,6 +28,7 @@
 import org.bronzetide.edge.peer.PeerSocket
 import org.bronzetide.edge.peer.PeerStateClient
 import org.bronzetide.edge.state.BlackboardKeys
+import org.bronzetide.edge.state.Departures
 import org.bronzetide.edge.state.ManifestCache
 import org.bronzetide.edge.state.StoreWatcher
 import org.bronzetide.edge.state.TargetRegistry
@@ -109,12 +110,13 @@
 
     @Volatile
     private var status = statusPage()
+    private val departures = Departures(log) { control.post(::updateTargets) }
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler),
-        TargetClient(pool, clock),
+        TargetClient(pool, clock, departures),
         clock,
         retryBudget,
-        { board[BlackboardKeys.targets][it] },
+        { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
         log,
         metrics
     )
@@ -191,6 +193,7 @@
             scheduler.poisonParts.blocked.size
         }
         metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
+        metrics.gauge("bronzetide.edge.targets.departed") { departures.count }
         metrics.gauge("bronzetide.edge.bodies.held.bytes") { bodies.heldBytes }
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
@@ -322,7 +325,7 @@
         entry.service,
         entry.availabilityZone,
         entry.slots,
-        entry.isLeaving,
+        entry.isLeaving || entry in departures,
         isEngine = manifest()?.services?.get(entry.service)?.engine != null
     )
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -16,6 +16,7 @@
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
+import org.bronzetide.edge.state.Departures
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -102,7 +103,7 @@
     ): CallerSession.Dependencies {
         val forwarder = RequestForwarder(
             SchedulerAdapter(control, clock, scheduler),
-            TargetClient(pool, clock),
+            TargetClient(pool, clock, Departures(log) {}),
             clock,
             WindowedRetryBudget(1.0, 1.0, LIMIT_MS) { 1 },
             { TargetEntry(it, it, address, ZONE, SLOTS, isLeaving = false, startedAtMs = 0) },
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.net.ConnectException
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.state.Departures
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Framing
 import org.bronzetide.http.Header
@@ -27,7 +28,11 @@
  * response to the next send. An abandoned connection is closed, which tells the target that the
  * response is no longer needed.
  */
-internal class TargetClient(private val pool: ConnectionPool, private val clock: MonotonicClock) {
+internal class TargetClient(
+    private val pool: ConnectionPool,
+    private val clock: MonotonicClock,
+    private val departures: Departures
+) {
     /**
      * The result of one send, with the outcome and the average milliseconds between events for the
      * scheduler; [msPerEvent] is 0 if it is not known.
@@ -71,10 +76,16 @@
             val result = SendResult.NotRun("unreachable: ${cause.message}")
             return Beginning.Ended(Attempt(result, FleetOutcome.UNREACHABLE))
         }
+        if (target in departures) {
+            connection.close()
+            val result = SendResult.NotRun("target is leaving")
+            return Beginning.Ended(Attempt(result, FleetOutcome.CANCELLED))
+        }
         var isOpen = false
         try {
             connection.send(outgoing(call, target, resumeAfterId))
             val response = receiveMatching(call, connection, stallPolicy)
+            if (PlatformHeaders.isLeaving(response.headers)) departures.mark(target)
             ReportedLoad.of(response.headers)?.let(onLoad)
             if (response.isRefusal) {
                 val attempt = readRefusal(response)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -13,6 +13,7 @@
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
+import org.bronzetide.edge.state.Departures
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -66,7 +67,7 @@
         val metrics = EdgeMetrics()
         val scheduler = SchedulerAdapter(control, clock, FleetScheduler("z1", Random.Default))
         val budget = WindowedRetryBudget(0.0, 0.0, 1_000) { 1 }
-        val client = TargetClient(pool, clock)
+        val client = TargetClient(pool, clock, Departures(log) {})
         return CallerSession.Dependencies(
             clock,
             admissionController(),
