Send nothing to a target that rests until its time is over

Change: the scheduler does not choose such a target before that time. Requests that cannot wait until the first target of their service returns are refused at once with that time, spread; the others return in order of urgency. It counts neither as ill health nor as a crash.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -204,8 +204,20 @@
         target: TargetEntry,
         ticketSequence: Long,
         policy: StallPolicy
-    ): TargetClient.Beginning = client.begin(state.call, target, state.relay.lastEventId, policy) {
-        scheduler.onReportedLoad(ticketSequence, it)
+    ): TargetClient.Beginning =
+        client.begin(state.call, target, state.relay.lastEventId, policy) { report ->
+            scheduler.onReport(ticketSequence, report)
+            report.restMs?.let { onRest(state, target, it) }
+        }
+
+    private fun onRest(state: State, target: TargetEntry, restMs: Long) {
+        log.request(
+            "target rests",
+            state.call.requestId,
+            "target" to target.id,
+            "forMs" to restMs
+        )
+        metrics.onTargetRest()
     }
 
     private suspend fun awaitAttempt(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
-import org.bronzetide.platform.fleet.ReportedLoad
+import org.bronzetide.platform.fleet.TargetReport
 import org.bronzetide.scheduling.fleet.FleetDecision
 import org.bronzetide.scheduling.fleet.FleetOutcome
 import org.bronzetide.scheduling.fleet.FleetScheduler
@@ -50,11 +50,14 @@
         control.post { scheduler.onFirstEvent(sequence, nowMs) }
     }
 
-    /** Reports what the target of the ticket with [sequence] said about its load. */
-    fun onReportedLoad(sequence: Long, load: ReportedLoad) {
+    /** Reports what the target of the ticket with [sequence] said about itself. */
+    fun onReport(sequence: Long, report: TargetReport) {
         val nowMs = clock.nowMs()
-        val inProgress = load.runningCount + load.waitingCount
-        control.post { scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs) }
+        report.load?.let { load ->
+            val inProgress = load.runningCount + load.waitingCount
+            control.post { scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs) }
+        }
+        report.restMs?.let { control.post { scheduler.onRest(sequence, nowMs + it) } }
     }
 
     /** Reports the average milliseconds between the first events for the ticket with [sequence]. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -11,9 +11,9 @@
 import org.bronzetide.http.IncomingResponse
 import org.bronzetide.http.OutgoingRequest
 import org.bronzetide.platform.fleet.PlatformHeaders
-import org.bronzetide.platform.fleet.ReportedLoad
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.platform.fleet.TargetReport
 import org.bronzetide.scheduling.fleet.FleetOutcome
 
 /**
@@ -57,15 +57,15 @@
 
     /**
      * Sends [call] to [target] and waits for the head of the response. A stream is resumed after
-     * the event [resumeAfterId], if there is one. [onLoad] gets what the target says about its
-     * load.
+     * the event [resumeAfterId], if there is one. [onReport] gets what the target says about
+     * itself.
      */
     suspend fun begin(
         call: Call,
         target: TargetEntry,
         resumeAfterId: Long?,
         stallPolicy: StallPolicy,
-        onLoad: (ReportedLoad) -> Unit
+        onReport: (TargetReport) -> Unit
     ): Beginning {
         val connection = try {
             connect(call, target)
@@ -85,9 +85,10 @@
         try {
             connection.send(outgoing(call, target, resumeAfterId))
             val response = receiveMatching(call, connection, stallPolicy)
-            if (PlatformHeaders.isLeaving(response.headers)) departures.mark(target)
-            ReportedLoad.of(response.headers)?.let(onLoad)
-            if (response.isRefusal) {
+            val report = TargetReport.of(response.status, response.headers)
+            if (report.isLeaving) departures.mark(target)
+            onReport(report)
+            if (response.isRefusal || report.restMs != null) {
                 val attempt = readRefusal(response)
                 isOpen = tryRelease(call, target, connection, response)
                 return Beginning.Ended(attempt)
@@ -210,7 +211,10 @@
         response.body.readAll(MAX_RESPONSE_BYTES)
         val outcome =
             if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
-        return Attempt(SendResult.NotRun("target refused, ${response.status}"), outcome)
+        val reason = "target refused, ${response.status}"
+        val result =
+            if (response.isRefusal) SendResult.NotRun(reason) else SendResult.MayHaveRun(reason)
+        return Attempt(result, outcome)
     }
 
     private suspend fun read(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -30,6 +30,10 @@
     fun onFailedSend(outcome: String) = Counter.builder("bronzetide.edge.failed.sends")
         .tag("outcome", outcome).register(registry).increment()
 
+    /** Counts a response in which a target wants no requests for a while. */
+    fun onTargetRest() =
+        Counter.builder("bronzetide.edge.target.rests").register(registry).increment()
+
     /** Counts a failed call to the store. */
     fun onStoreFailure() =
         Counter.builder("bronzetide.edge.store.failures").register(registry).increment()
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -66,6 +66,14 @@
         running[sequence]?.load?.onReported(inProgress, slowdown, nowMs)
     }
 
+    /**
+     * Records that the target of a ticket that was sent wants no requests from this host before
+     * [untilMs]. That is no sign of ill health.
+     */
+    public fun onRest(sequence: Long, untilMs: Long) {
+        running[sequence]?.load?.rest(untilMs)
+    }
+
     /** The load of this host on each target, to report to the other hosts. */
     public fun ownLoads(): Map<String, PeerLoad> = targets.filterValues { it.ownCount > 0 }
         .mapValues { PeerLoad(it.value.ownCount, it.value.ownPromptTokens) }
@@ -209,6 +217,11 @@
             return FleetDecision.Refuse("prompt part ${part.id} crashes targets", remainingMs)
         }
         if (nowMs > ticket.startByMs) return refuse(ticket, "no target in time", nowMs)
+        val restMs = targets.values.inService(ticket.service).restMs(nowMs)
+        if (nowMs + restMs > ticket.startByMs) {
+            val spreadMs = random.nextLong(restMs / 2 + 1)
+            return FleetDecision.Refuse("all targets rest", restMs + spreadMs)
+        }
         val position = ahead[ticket.service]
         if (position == null) {
             val best = choose(ticket, rank, nowMs)
@@ -238,7 +251,7 @@
         overloadPolicies.getOrPut(ticket.service) { OverloadPolicy(random) }
 
     private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
-        val all = usable(ticket.service, nowMs)
+        val all = targets.values.inService(ticket.service).usable(nowMs)
         if (usesOwnShare(ticket.service, rank, all.sumOf { it.spec.slots }, nowMs)) return null
         val candidates = all.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
@@ -294,11 +307,6 @@
         return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
     }
 
-    private fun usable(service: String, nowMs: Long): List<TargetLoad> {
-        val listed = targets.values.inService(service)
-        return listed.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { listed }
-    }
-
     private fun mayEject(service: String, nowMs: Long): Boolean {
         val all = targets.values.inService(service)
         val ejected = all.count { it.ejectedUntilMs > nowMs }
@@ -376,3 +384,15 @@
 /** The targets of [service] that do not leave. */
 private fun Collection<TargetLoad>.inService(service: String): List<TargetLoad> =
     filter { it.spec.service == service && !it.spec.isLeaving }
+
+/** The time until the first of these targets wants requests; 0 if one does now. */
+private fun List<TargetLoad>.restMs(nowMs: Long): Long {
+    val firstMs = minOfOrNull { it.restingUntilMs } ?: nowMs
+    return (firstMs - nowMs).coerceAtLeast(0)
+}
+
+/** The targets that may get requests: none that rests, and ejected ones only if all others do. */
+private fun List<TargetLoad>.usable(nowMs: Long): List<TargetLoad> {
+    val awake = filter { it.restingUntilMs <= nowMs }
+    return awake.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { awake }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -20,6 +20,10 @@
     /** Whether the target failed on other hosts recently. */
     var isSuspectedByPeers = false
 
+    /** The time until which the target wants no requests from this host, in milliseconds. */
+    var restingUntilMs = 0L
+        private set
+
     /** How many times longer than usual the target takes, learned from its event intervals. */
     val slowdown = SlowdownEstimator()
 
@@ -49,6 +53,11 @@
         slowdown?.let { momentarySlowdown.update(it, nowMs) }
     }
 
+    /** Records that the target wants no requests before [untilMs]. */
+    fun rest(untilMs: Long) {
+        restingUntilMs = maxOf(restingUntilMs, untilMs)
+    }
+
     fun start(promptTokens: Int) {
         ownCount++
         ownPromptTokens += promptTokens
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -55,6 +55,40 @@
         assertThat(sent.values).allMatch { it is FleetDecision.Send && it.targetId == "t2" }
     }
 
+    @Example
+    fun restingTargetGetsNoNewWorkUntilItsTimeIsOver() {
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        enroll(1)
+        val resting = (sent.getValue(1) as FleetDecision.Send).targetId
+        scheduler.onRest(1, 2_000)
+        scheduler.release(1, FleetOutcome.REFUSED, 10)
+        (2L..7L).forEach { enroll(it) }
+        assertThat(sent.values.drop(1)).hasSize(6)
+            .noneMatch { it is FleetDecision.Send && it.targetId == resting }
+        (2L..7L).forEach { scheduler.release(it, FleetOutcome.ANSWERED, 1_900) }
+        scheduler.decide(2_000)
+        (8L..23L).forEach { scheduler.enroll(ticket(it, 1, 10_000), 2_000) { d -> sent[it] = d } }
+        assertThat(sent.values.drop(7))
+            .anyMatch { it is FleetDecision.Send && it.targetId == resting }
+    }
+
+    /** Guards against requests that wait although they cannot start before all targets return. */
+    @Example
+    fun whileAllTargetsRestOnlyRequestsThatCanWaitDoAndReturnByUrgency() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1)))
+        enroll(1)
+        scheduler.onRest(1, 2_000)
+        scheduler.release(1, FleetOutcome.REFUSED, 10)
+        enroll(2, startByMs = 1_500)
+        assertThat((sent[2] as FleetDecision.Refuse).retryAfterMs).isBetween(1_900, 3_100)
+        enroll(3, priority = 2)
+        enroll(4, priority = 0)
+        scheduler.decide(1_999)
+        assertThat(sent.keys).containsExactly(1L, 2L)
+        scheduler.decide(2_000)
+        assertThat(sent.keys).containsExactly(1L, 2L, 4L)
+    }
+
     @Example
     fun failingTargetIsEjectedButNeverAllOfThem() {
         scheduler.updateTargets(listOf(target("t1"), target("t2")))
