Replace a silent target only by one whose success is signed

A target that answered with an unsigned success while another was silent took over, and then counted as broken off, so that the sound stream was cut.

Change: the head must be a signed success before the silent target is left. SilentTargetTest.streamOfATargetThatGoesOnIsCompleteWhenAnotherDoesNotSign.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -282,12 +282,13 @@
                     onSendFailed(state, target.id, outcome, attempt.result)
                 }
 
-                is TargetClient.Beginning.Responding -> if (beginning.response.status in SUCCESS) {
+                is TargetClient.Beginning.Responding -> if (beginning.isSuccess) {
                     state.replacement = Replacement(ticket.sequence, beginning)
                 } else {
                     beginning.close()
                     outcome = FleetOutcome.ERROR
-                    val result = SendResult.MayHaveRun("status ${beginning.response.status}")
+                    val result =
+                        SendResult.MayHaveRun("no success, ${beginning.response.status}")
                     onSendFailed(state, target.id, outcome, result)
                 }
             }
@@ -420,7 +421,6 @@
     internal companion object {
         private val ticketSequences = java.util.concurrent.atomic.AtomicLong()
         private const val OK = 200
-        private val SUCCESS = 200..299
         private const val MIN_SERVER_ERROR = 500
         private const val BAD_GATEWAY = 502
         private const val UNAVAILABLE = 503
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -48,6 +48,11 @@
             val response: IncomingResponse
         ) : Beginning(),
             AutoCloseable {
+            /** Whether the response is a success, and the target's own. */
+            val isSuccess: Boolean
+                get() = response.status in 200..299 &&
+                    response.headers[PlatformHeaders.SIGNATURE] != null
+
             override fun close() = connection.close()
         }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SilentTargetTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SilentTargetTest.kt
@@ -47,6 +47,17 @@
         assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
     }
 
+    @Example
+    fun streamOfATargetThatGoesOnIsCompleteWhenAnotherDoesNotSign() {
+        startTargets(silentMs = 1_700) { request, connection ->
+            connection.startResponse(200, responseHeaders(request).dropLast(1))
+            connection.sendChunk(events(3..6).encodeToByteArray())
+            connection.finishResponse()
+            true
+        }
+        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+    }
+
     @Example
     fun streamOfATargetThatGoesOnIsCompleteWhenAnotherBreaksOff() {
         startTargets(silentMs = 1_700) { _, _ -> false }
