Refuse, and do not take, a request that arrives when a stop closes connections

Cause: serves a request that has arrived when its connection is to be closed, also for a stop, and so on each new connection of a process that stops.

Change: from the close of idle connections on, such a request is refused with a true 503 and the connection closed.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -115,6 +115,11 @@
         }
         if (request.headers["Expect"] != null) connection.sendContinue()
         val bodyTimeoutMs = RequestMetadata.of(request.headers).timeoutMs ?: limits.idleTimeoutMs
+        if (dependencies.inFlightRequests.isClosed) {
+            val refusal = Admission.Refused(UNAVAILABLE, "stopping", STOP_RETRY_AFTER_MS)
+            refuseWithBody(request, refusal, limits, bodyTimeoutMs, arrivedAtMs)
+            return false
+        }
         val maxWaitMs = minOf(MAX_BODY_WAIT_MS, bodyTimeoutMs / BODY_WAIT_DIVISOR)
         val body = try {
             withTimeout(bodyTimeoutMs) {
@@ -125,7 +130,13 @@
             return false
         }
         if (body == null) {
-            refuseBody(request, limits, bodyTimeoutMs, arrivedAtMs)
+            val refusal = Admission.Refused(
+                UNAVAILABLE,
+                "body budget",
+                BODY_RETRY_AFTER_MS + Random.nextLong(BODY_RETRY_AFTER_MS),
+                logFields = listOf("heldBytes" to dependencies.bodies.heldBytes)
+            )
+            refuseWithBody(request, refusal, limits, bodyTimeoutMs, arrivedAtMs)
             return false
         }
         return body.use { serve(request, it.bytes, arrivedAtMs) }
@@ -143,21 +154,16 @@
         }
     }
 
-    /** Refuses a request whose body has no place in memory, after its caller has sent it. */
-    private suspend fun refuseBody(
+    /** Refuses a request before its body has been read, and closes the connection. */
+    private suspend fun refuseWithBody(
         request: IncomingRequest,
+        refusal: Admission.Refused,
         limits: CallerLimits,
         bodyTimeoutMs: Long,
         arrivedAtMs: Long
     ) {
         // Callers read the response once they have sent the body.
         withTimeoutOrNull(bodyTimeoutMs) { request.body.skip(limits.maxBodyBytes) }
-        val refusal = Admission.Refused(
-            UNAVAILABLE,
-            "body budget",
-            BODY_RETRY_AFTER_MS + Random.nextLong(BODY_RETRY_AFTER_MS),
-            logFields = listOf("heldBytes" to dependencies.bodies.heldBytes)
-        )
         refuse(request, refusal, arrivedAtMs, mayKeepAlive = false)
     }
 
@@ -255,6 +261,9 @@
         const val MAX_BODY_WAIT_MS = 800L
         const val BODY_WAIT_DIVISOR = 4
 
+        /** Another host serves the caller at once. */
+        const val STOP_RETRY_AFTER_MS = 20L
+
         /** A large body takes about half a second to arrive; refused callers are spread. */
         const val BODY_RETRY_AFTER_MS = 500L
         const val REQUEST_TIMEOUT = 408
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/InFlightRequests.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/InFlightRequests.kt
@@ -15,6 +15,9 @@
     @Volatile
     var isDraining = false
 
+    /** Whether the process takes no further requests, as it may end before they do. */
+    val isClosed: Boolean get() = idleClose.isCompleted
+
     /** Closes the connections on which no request is in progress. */
     fun closeIdleConnections() {
         idleClose.complete(Unit)
