MalformedResponseTest: register both targets before the node starts

The log shows why: the second target was registered after the node had started, and its entry was read 9 ms after the request was sent. The node is ready once it has read all entries, so both are written before. What the test asks for is unchanged.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
@@ -28,6 +28,7 @@
     @Example
     fun callerGetsAnAnswerWhateverTheTargetSends() {
         startMalformedTarget("t1")
+        startNode()
         malformedHeads.forEach { head ->
             response = head
             val description = head.decodeToString().take(60)
@@ -41,6 +42,7 @@
         environment.startTarget("t2") { request, connection ->
             EdgeTestEnvironment.sendSignedResponse(request, connection)
         }
+        startNode()
         malformedHeads.forEach { head ->
             response = head
             repeat(3) { assertThat(environment.ask("/safe/").status).isEqualTo(200) }
@@ -65,6 +67,10 @@
             }
         }
         environment.writeEntry(id, "api", server.localPort, "ready")
+    }
+
+    /** Starts the node, which reads the entries of all targets before it is ready. */
+    private fun startNode() {
         environment.writeManifest()
         environment.start()
     }
