--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -167,10 +167,14 @@
     public fun decide(nowMs: Long) {
         if (waiting.size == 0) return
         val ahead = HashMap<String, Int>()
+        val restMsByService = HashMap<String, Long>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
         for (ranked in waiting.inDispatchOrder(nowMs)) {
             val ticket = ranked.entry.ticket
-            val decision = decisionFor(ticket, ranked.rank, ahead, nowMs) ?: continue
+            val restMs = restMsByService.getOrPut(ticket.service) {
+                targets.values.inService(ticket.service).restMs(nowMs)
+            }
+            val decision = decisionFor(ticket, ranked.rank, ahead, restMs, nowMs) ?: continue
             waiting.remove(ticket.sequence)
             if (decision is FleetDecision.Send) start(ranked, decision.targetId, nowMs)
             decided += ranked.entry to decision
@@ -204,12 +208,13 @@
 
     /**
      * Returns the decision on [ticket], or `null` if it must wait. [ahead] counts the tickets of
-     * each service that wait before it.
+     * each service that wait before it; [restMs] is the time until a target wants requests.
      */
     private fun decisionFor(
         ticket: FleetTicket,
         rank: Int,
         ahead: MutableMap<String, Int>,
+        restMs: Long,
         nowMs: Long
     ): FleetDecision? {
         poisonParts.findBlocked(ticket.sharedParts)?.let { part ->
@@ -217,7 +222,6 @@
             return FleetDecision.Refuse("prompt part ${part.id} crashes targets", remainingMs)
         }
         if (nowMs > ticket.startByMs) return refuse(ticket, "no target in time", nowMs)
-        val restMs = targets.values.inService(ticket.service).restMs(nowMs)
         if (nowMs + restMs > ticket.startByMs) {
             val spreadMs = random.nextLong(restMs / 2 + 1)
             return FleetDecision.Refuse("all targets rest", restMs + spreadMs)
