Compare parts only where crashes are judged, and divide the runs once

CrashAnalysis grouped its suspects on construction, although evidence() and the dropping of runs need only their crash counts; it does so now when first asked. The two filters by crash, one the opposite of the other, are one partition. Behaviour unchanged; the detector's 23 tests and all others of the module pass.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/CrashAnalysis.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/CrashAnalysis.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.scheduling.fleet
 
 import java.util.BitSet
+import kotlin.LazyThreadSafetyMode.NONE
 
 /**
  * The suspects among the parts of [runs], which are in the order of their ends.
@@ -18,16 +19,18 @@
     /** One suspect for each part of the runs, in no particular order. */
     val suspects: List<CrashSuspect> = findSuspects()
 
-    private val groups: Map<BitSet, Group> = HashMap<BitSet, Group>().apply {
+    /** The suspects of each crash, counted by the crashes that they explain. */
+    private val groupsByCrash: Map<Int, List<Map.Entry<BitSet, Group>>> by lazy(NONE) {
+        val groups = HashMap<BitSet, Group>()
         suspects.forEach { suspect ->
-            val group = getOrPut(suspect.crashes) { Group() }
+            val group = groups.getOrPut(suspect.crashes) { Group() }
             if (suspect.isServed) group.servedCount++ else group.unservedCount++
         }
-    }
-    private val groupsByCrash = HashMap<Int, MutableList<Map.Entry<BitSet, Group>>>().apply {
+        val byCrash = HashMap<Int, MutableList<Map.Entry<BitSet, Group>>>()
         groups.entries.forEach { group ->
-            group.key.stream().forEach { getOrPut(it) { ArrayList() }.add(group) }
+            group.key.stream().forEach { byCrash.getOrPut(it) { ArrayList() }.add(group) }
         }
+        byCrash
     }
     private val totals = HashMap<BitSet, Group>()
 
@@ -41,13 +44,11 @@
     fun isUnlikely(suspect: CrashSuspect): Boolean =
         suspect.isServed && explainingAllOf(suspect).unservedCount > 0
 
-    /** The runs that ended in none of the crashes of [suspect]. */
-    fun unexplainedBy(suspect: CrashSuspect): List<CrashedRun> =
-        runs.filterIndexed { index, _ -> !suspect.crashes[crashNumbers[index]] }
-
-    /** The runs that ended in a crash of [suspect]. */
-    fun explainedBy(suspect: CrashSuspect): List<CrashedRun> =
-        runs.filterIndexed { index, _ -> suspect.crashes[crashNumbers[index]] }
+    /** Divides the runs into those that ended in a crash of [suspect], and the others. */
+    fun partitionBy(suspect: CrashSuspect): Pair<List<CrashedRun>, List<CrashedRun>> {
+        val (explained, others) = runs.indices.partition { suspect.crashes[crashNumbers[it]] }
+        return explained.map(runs::get) to others.map(runs::get)
+    }
 
     private fun numberCrashes(): IntArray {
         class Crash(val number: Int, var lastEndMs: Long)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetector.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PoisonPartDetector.kt
@@ -122,8 +122,8 @@
 
     private fun judge(judged: List<CrashedRun>) {
         val before = blocked
-        blocked = findPoisonParts(judged).associate { (poison, analysis) ->
-            keepProofOnly(poison, analysis)
+        blocked = findPoisonParts(judged).associate { (poison, explained) ->
+            keepProofOnly(poison, explained)
             poison.part to poison.proof.last().endedAtMs + BLOCK_MS
         }
         // A blocked part needs fewer crashes than before it was blocked.
@@ -189,16 +189,19 @@
 
     private fun Map<PromptPart, Int>.of(run: CrashedRun): Int = run.parts.maxOf { this[it] ?: 0 }
 
-    /** Returns the poison parts, each with the analysis of the crashes that it was found in. */
-    private fun findPoisonParts(judged: List<CrashedRun>): List<Pair<CrashSuspect, CrashAnalysis>> {
-        val found = ArrayList<Pair<CrashSuspect, CrashAnalysis>>()
+    /** Returns the poison parts, each with the crashed runs that it explains. */
+    private fun findPoisonParts(
+        judged: List<CrashedRun>
+    ): List<Pair<CrashSuspect, List<CrashedRun>>> {
+        val found = ArrayList<Pair<CrashSuspect, List<CrashedRun>>>()
         var unexplained = judged
         while (true) {
             val analysis = CrashAnalysis(unexplained, servedAtMs)
             val next = analysis.suspects.filter { it.proof.size >= MIN_CRASHES }
                 .sortedWith(likeliestFirst).firstOrNull { isPoison(it, analysis) } ?: return found
-            found += next to analysis
-            unexplained = analysis.unexplainedBy(next)
+            val (explained, others) = analysis.partitionBy(next)
+            found += next to explained
+            unexplained = others
         }
     }
 
@@ -213,9 +216,9 @@
     }
 
     /** Drops the runs that [poison] explains, but for those that prove it to other hosts. */
-    private fun keepProofOnly(poison: CrashSuspect, analysis: CrashAnalysis) {
+    private fun keepProofOnly(poison: CrashSuspect, explained: List<CrashedRun>) {
         val proof = poison.proof.takeLast(MIN_CRASHES_IF_SERVED).toSet()
-        removeRuns(analysis.explainedBy(poison).filter { it !in proof })
+        removeRuns(explained.filter { it !in proof })
     }
 
     private class BoundedMap<K, V>(private val maxSize: Int) : LinkedHashMap<K, V>() {
