--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -7,7 +7,6 @@
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import io.ktor.utils.io.writeStringUtf8
-import kotlinx.coroutines.CancellationException
 
 /** The head of a received request; its body is read from [body]. */
 public class IncomingRequest(
@@ -54,14 +53,11 @@
      */
     public suspend fun receive(): IncomingRequest? {
         val request = try {
-            socket.limitInput(TcpSocket.MAX_HEAD_BYTES) { parseRequest(input) } ?: return null
-        } catch (cause: CancellationException) {
-            throw cause
+            parsing("request") {
+                socket.limitInput(TcpSocket.MAX_HEAD_BYTES) { parseRequest(input) } ?: return null
+            }
         } catch (_: TooLongLineException) {
             throw HeadTooLargeException()
-        } catch (cause: RuntimeException) {
-            // The parser reports malformed input by several exceptions, none of them of I/O.
-            throw MalformedMessageException("invalid request: ${cause.message}")
         }
         return request.use {
             val headers = HeaderList.of(request.headers)
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -6,7 +6,6 @@
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import java.io.EOFException
-import kotlinx.coroutines.CancellationException
 
 /** A request to send; its body is framed by its length. */
 public class OutgoingRequest(
@@ -76,13 +75,8 @@
      * @throws MalformedMessageException if the input is not a valid response.
      * @throws java.io.IOException if the connection ends, or the head has no end.
      */
-    public suspend fun receive(): IncomingResponse = try {
+    public suspend fun receive(): IncomingResponse = parsing("response") {
         socket.limitInput(TcpSocket.MAX_HEAD_BYTES) { receiveFinal() }
-    } catch (cause: CancellationException) {
-        throw cause
-    } catch (cause: RuntimeException) {
-        // The parser reports malformed input by several exceptions, none of them of I/O.
-        throw MalformedMessageException("invalid response: ${cause.message}")
     }
 
     private suspend fun receiveFinal(): IncomingResponse {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
+import kotlinx.coroutines.CancellationException
 
 /** How the end of a message's body is determined. */
 public sealed class Framing {
@@ -49,6 +50,20 @@
 /** A message does not conform to HTTP/1.1. */
 public class MalformedMessageException(message: String) : IOException(message)
 
+/**
+ * Runs [block], which parses the head of a message of the kind [what].
+ *
+ * @throws MalformedMessageException in place of the several exceptions, none of them of I/O, by
+ * which the parser reports malformed input.
+ */
+internal inline fun <T> parsing(what: String, block: () -> T): T = try {
+    block()
+} catch (cause: CancellationException) {
+    throw cause
+} catch (cause: RuntimeException) {
+    throw MalformedMessageException("invalid $what: ${cause.message}")
+}
+
 /** Reads the body of one message from [input], part by part. */
 public class MessageBody(private val input: ByteReadChannel, private val framing: Framing) {
     private var remaining = (framing as? Framing.Length)?.bytes ?: 0L
