Share what RequestForwarder does at each attempt and for the last run

The rule for the last run stood in stallPolicy and in tryReplace, and the state of an attempt was set by each of the two functions that begin one. Behaviour unchanged: SilentTargetTest, WholePathTest and EndlessStreamTest pass.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -173,8 +173,6 @@
             return SendResult.NotRun("target is gone")
         }
         onSend(state, decision)
-        state.isInFlight = true
-        state.currentTargetId = targetId
         val policy = stallPolicy(state, decision.firstEventMs)
         return awaitAttempt(state, targetId) {
             val beginning = begin(state, target, state.ticketSequence, policy)
@@ -191,12 +189,8 @@
     private suspend fun complete(
         state: State,
         beginning: TargetClient.Beginning.Responding
-    ): SendResult {
-        state.isInFlight = true
-        state.currentTargetId = beginning.target.id
-        return awaitAttempt(state, beginning.target.id) {
-            client.complete(state.call, beginning, state.relay, stallPolicy(state, 0))
-        }
+    ): SendResult = awaitAttempt(state, beginning.target.id) {
+        client.complete(state.call, beginning, state.relay, stallPolicy(state, 0))
     }
 
     private suspend fun begin(
@@ -225,6 +219,8 @@
         targetId: String,
         block: suspend () -> TargetClient.Attempt
     ): SendResult {
+        state.isInFlight = true
+        state.currentTargetId = targetId
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
         val result = try {
@@ -260,8 +256,7 @@
      */
     private suspend fun tryReplace(state: State): Boolean {
         val call = state.call
-        val isLastRun = state.possibleRuns + 1 >= call.route.maxAttempts
-        if (isLastRun || state.sends >= MAX_SENDS) return false
+        if (isLastRun(state)) return false
         if (!retryBudget.tryRetry(call.service, clock.nowMs())) return false
         val current = state.currentTargetId
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
@@ -301,6 +296,10 @@
         }
     }
 
+    /** Whether no run may be added to the current one. */
+    private fun isLastRun(state: State): Boolean =
+        state.possibleRuns + 1 >= state.call.route.maxAttempts || state.sends >= MAX_SENDS
+
     private fun drop(replacement: Replacement) {
         replacement.beginning.close()
         scheduler.release(replacement.ticketSequence, FleetOutcome.CANCELLED)
@@ -348,9 +347,7 @@
 
     private fun stallPolicy(state: State, predictedMs: Long): StallPolicy {
         val call = state.call
-        val isLastRun =
-            !call.route.kind.isSafeToRetry || state.possibleRuns + 1 >= call.route.maxAttempts
-        if (isLastRun || state.sends >= MAX_SENDS) return StallPolicy.WaitUntilDeadline
+        if (!call.route.kind.isSafeToRetry || isLastRun(state)) return StallPolicy.WaitUntilDeadline
         val eventIntervalMs = (call.route.kind as? RouteKind.Streaming)?.maxEventIntervalMs ?: 0
         val firstEventTimeoutMs = maxOf(
             call.route.targetLatencyMs * STALL_LATENCY_FACTOR,
