Tell a silent target from one that broke off by a field, and name successes once

TargetClient told them apart by the exception's cause, which coroutines set on their copy when assertions are on, so that tests logged "broke off: silent target"; an exception with a field is not copied. Without assertions, as the deploy file runs it, nothing changes. What is a success, and signed, is written once for its three uses. SilentTargetTest, BrokenStreamTest, UnframedResponseTest, PoisonPartTest and WholePathTest pass; their log has "silent target" twice.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StallPolicy.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StallPolicy.kt
@@ -60,7 +60,7 @@
 
 /**
  * Another target has taken over from one that was silent, and that has also broken off meanwhile if
- * there is a [cause].
+ * there is a [failure].
  */
-internal class TargetStalledException(cause: Throwable? = null) :
-    IOException(cause?.message ?: "silent target", cause)
+internal class TargetStalledException(val failure: Throwable? = null) :
+    IOException(failure?.message ?: "silent target")
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -49,9 +49,7 @@
         ) : Beginning(),
             AutoCloseable {
             /** Whether the response is a success, and the target's own. */
-            val isSuccess: Boolean
-                get() = response.status in 200..299 &&
-                    response.headers[PlatformHeaders.SIGNATURE] != null
+            val isSuccess: Boolean get() = response.isSuccess && response.isSigned
 
             override fun close() = connection.close()
         }
@@ -143,8 +141,7 @@
     }
 
     private suspend fun brokenOff(target: TargetEntry, cause: IOException): Attempt {
-        val isSilent = cause is TargetStalledException && cause.cause == null
-        if (isSilent) {
+        if (cause is TargetStalledException && cause.failure == null) {
             return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
         }
         pool.evict(target.address.host, target.address.port)
@@ -228,10 +225,8 @@
         relay: StreamRelay,
         stallPolicy: StallPolicy
     ): Attempt {
-        if (call.route.kind is RouteKind.Streaming && response.status in 200..299) {
-            if (response.headers[PlatformHeaders.SIGNATURE] == null) {
-                throw IOException("stream without signature")
-            }
+        if (call.route.kind is RouteKind.Streaming && response.isSuccess) {
+            if (!response.isSigned) throw IOException("stream without signature")
             val msPerEvent = relay.relayResponse(response, stallPolicy)
             return Attempt(SendResult.Streamed, FleetOutcome.ANSWERED, msPerEvent)
         }
@@ -240,9 +235,9 @@
 
     private suspend fun readUnstreamed(response: IncomingResponse): Attempt {
         val body = response.body.readAll(MAX_RESPONSE_BYTES)
-        val isUnsigned =
-            response.status in 200..299 && response.headers[PlatformHeaders.SIGNATURE] == null
-        if (isUnsigned) throw IOException("success without signature")
+        if (response.isSuccess && !response.isSigned) {
+            throw IOException("success without signature")
+        }
         // To the caller such a status guarantees that the request did not run, which is unknown.
         if (response.status in notRunStatuses) throw IOException("refusal without promise")
         val isServerError = response.status >= MIN_SERVER_ERROR
@@ -280,3 +275,6 @@
         const val SMALL_BODY_BYTES = 2_048
     }
 }
+
+private val IncomingResponse.isSuccess: Boolean get() = status in 200..299
+private val IncomingResponse.isSigned: Boolean get() = headers[PlatformHeaders.SIGNATURE] != null
