Share the targets' stand-ins of the tests over sockets

Five test classes wrote the head of a signed response, the beginning of a stream and an event of it again; they stand in EdgeTestEnvironment now, with a target that answers each request.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/EndlessStreamTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/EndlessStreamTest.kt
@@ -6,8 +6,6 @@
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.edge.standin.EdgeTestEnvironment
 import org.bronzetide.http.CallerConnection
-import org.bronzetide.http.Header
-import org.bronzetide.http.IncomingRequest
 
 /** Targets whose streams never end: trickling bytes, an event without an end, only comments. */
 class EndlessStreamTest {
@@ -32,7 +30,7 @@
     @Example
     fun streamThatRepeatsItsLastEventResumesAtAnotherTarget() = assertThatStreamResumes("") {
         delay(100)
-        it.sendChunk(event(2).encodeToByteArray())
+        it.sendChunk(EdgeTestEnvironment.event(2).encodeToByteArray())
     }
 
     @Example
@@ -47,12 +45,20 @@
         repeat(2) { index ->
             environment.startTarget("t$index", "model") { request, connection ->
                 if (request.headers["Last-Event-Id"] == null) {
-                    startStream(request, connection)
-                    connection.sendChunk((event(1) + event(2) + begin).encodeToByteArray())
+                    EdgeTestEnvironment.startStream(request, connection)
+                    connection.sendChunk(
+                        (
+                            EdgeTestEnvironment.event(1) +
+                                EdgeTestEnvironment.event(2) +
+                                begin
+                            ).encodeToByteArray()
+                    )
                     while (true) sendFiller(connection)
                 }
-                startStream(request, connection)
-                (3..4).forEach { connection.sendChunk(event(it).encodeToByteArray()) }
+                EdgeTestEnvironment.startStream(request, connection)
+                (3..4).forEach {
+                    connection.sendChunk(EdgeTestEnvironment.event(it).encodeToByteArray())
+                }
                 connection.finishResponse()
                 true
             }
@@ -61,18 +67,7 @@
         environment.start()
         val response = environment.ask("/stream/")
         assertThat(response.body.replace(": still here\n\n", ""))
-            .isEqualTo((1..4).joinToString("") { event(it) })
+            .isEqualTo(EdgeTestEnvironment.events(1..4))
         assertThat(environment.arrivals).hasSize(2)
     }
-
-    private suspend fun startStream(request: IncomingRequest, connection: CallerConnection) =
-        connection.startResponse(
-            200,
-            listOf(
-                Header("Request-Id", request.headers["Request-Id"].orEmpty()),
-                Header("Response-Signature", "s")
-            )
-        )
-
-    private fun event(id: Int) = "id: $id\ndata: text $id\n\n"
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ForeignEntryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ForeignEntryTest.kt
@@ -17,7 +17,7 @@
 
     @Example
     fun oddEntriesHarmNoRequest() {
-        startTarget("t1")
+        environment.startSoundTarget("t1")
         environment.writeManifest()
         environment.start()
         oddEntries.forEach { entry ->
@@ -32,13 +32,13 @@
 
     @Example
     fun targetsAreFollowedWhileOddEntriesAreThere() {
-        startTarget("t1")
+        environment.startSoundTarget("t1")
         oddEntries.forEachIndexed { index, entry ->
             environment.store.write("servers", "odd-$index", entry)
         }
         environment.writeManifest()
         environment.start()
-        startTarget("t2")
+        environment.startSoundTarget("t2")
         environment.writeEntry("t1", "api", 1, "draining")
         Thread.sleep(1_000)
         environment.arrivals.clear()
@@ -46,10 +46,6 @@
         assertThat(environment.arrivals.map { it.headers["Expect-Replica"] }).containsOnly("t2")
     }
 
-    private fun startTarget(id: String) = environment.startTarget(id) { request, connection ->
-        EdgeTestEnvironment.sendSignedResponse(request, connection)
-    }
-
     private companion object {
         val oddEntries = listOf(
             entry(address = "127.0.0.1:65536"),
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/LeavingTargetTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/LeavingTargetTest.kt
@@ -66,9 +66,7 @@
 
     /** Starts a sound target and the one that leaves, and returns the port of the latter. */
     private fun start(): Int {
-        environment.startTarget("sound") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("sound")
         val leaving = StandInServer { request, _, connection ->
             environment.arrivals += request
             val id = Header("Request-Id", request.headers["Request-Id"].orEmpty())
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
@@ -39,9 +39,7 @@
     @Example
     fun idempotentRequestIsSentToAnotherTarget() {
         startMalformedTarget("t1")
-        environment.startTarget("t2") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t2")
         startNode()
         malformedHeads.forEach { head ->
             response = head
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SilentTargetTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SilentTargetTest.kt
@@ -34,34 +34,38 @@
             connection.send(503, listOf(Header("Not-Executed", "1")), ByteArray(0))
             true
         }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
         assertThat(sends.get()).isGreaterThan(1)
     }
 
     @Example
     fun streamOfATargetThatGoesOnIsCompleteWhenAnotherFails() {
         startTargets(silentMs = 1_700) { request, connection ->
-            connection.send(500, responseHeaders(request), "failure".encodeToByteArray())
+            connection.send(
+                500,
+                EdgeTestEnvironment.signedHeaders(request),
+                "failure".encodeToByteArray()
+            )
             true
         }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
     }
 
     @Example
     fun streamOfATargetThatGoesOnIsCompleteWhenAnotherDoesNotSign() {
         startTargets(silentMs = 1_700) { request, connection ->
-            connection.startResponse(200, responseHeaders(request).dropLast(1))
-            connection.sendChunk(events(3..6).encodeToByteArray())
+            connection.startResponse(200, EdgeTestEnvironment.signedHeaders(request).dropLast(1))
+            connection.sendChunk(EdgeTestEnvironment.events(3..6).encodeToByteArray())
             connection.finishResponse()
             true
         }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
     }
 
     @Example
     fun streamOfATargetThatGoesOnIsCompleteWhenAnotherBreaksOff() {
         startTargets(silentMs = 1_700) { _, _ -> false }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
     }
 
     @Example
@@ -72,7 +76,7 @@
             silentTargetLeftAtNs = System.nanoTime()
             false
         }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
         assertThat((silentTargetLeftAtNs - replacementBeganAtNs) / 1_000_000).isLessThan(800)
     }
 
@@ -80,13 +84,13 @@
     fun streamGoesOnAtAnotherTargetAndTheSilentOneIsLeftAtOnce() {
         startTargets(silentMs = 4_500) { request, connection ->
             delay(100)
-            startStream(request, connection)
+            EdgeTestEnvironment.startStream(request, connection)
             replacementBeganAtNs = System.nanoTime()
-            connection.sendChunk(events(3..6).encodeToByteArray())
+            connection.sendChunk(EdgeTestEnvironment.events(3..6).encodeToByteArray())
             connection.finishResponse()
             true
         }
-        assertThat(environment.ask("/stream/").body).isEqualTo(events(1..6))
+        assertThat(environment.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..6))
         assertThat(environment.arrivals.last().headers["Last-Event-Id"]).isEqualTo("2")
         Thread.sleep(100)
         assertThat((silentTargetLeftAtNs - replacementBeganAtNs) / 1_000_000).isBetween(-400, 400)
@@ -100,8 +104,8 @@
         repeat(2) { index ->
             environment.startTarget("t$index", "model") { request, connection ->
                 if (sends.incrementAndGet() > 1) return@startTarget respond(request, connection)
-                startStream(request, connection)
-                connection.sendChunk(events(1..2).encodeToByteArray())
+                EdgeTestEnvironment.startStream(request, connection)
+                connection.sendChunk(EdgeTestEnvironment.events(1..2).encodeToByteArray())
                 val hasLeft = kotlinx.coroutines.withTimeoutOrNull(silentMs) {
                     connection.awaitClose()
                 }
@@ -109,7 +113,7 @@
                     silentTargetLeftAtNs = System.nanoTime()
                     return@startTarget false
                 }
-                connection.sendChunk(events(3..6).encodeToByteArray())
+                connection.sendChunk(EdgeTestEnvironment.events(3..6).encodeToByteArray())
                 connection.finishResponse()
                 true
             }
@@ -117,14 +121,4 @@
         environment.writeManifest()
         environment.start()
     }
-
-    private suspend fun startStream(request: IncomingRequest, connection: CallerConnection) =
-        connection.startResponse(200, responseHeaders(request))
-
-    private fun responseHeaders(request: IncomingRequest) = listOf(
-        Header("Request-Id", request.headers["Request-Id"].orEmpty()),
-        Header("Response-Signature", "s")
-    )
-
-    private fun events(ids: IntRange) = ids.joinToString("") { "id: $it\ndata: text $it\n\n" }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/WholePathTest.kt
@@ -27,9 +27,7 @@
 
     @Example
     fun reservedHeadersFromTheCallerAreReplaced() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         startWithManifest()
         val forged = listOf("Tenant", "Kv-Hold", "Kv-From", "Kv-Backup", "Pin-Ms", "Expect-Replica")
         val response = environment.ask(
@@ -52,9 +50,7 @@
 
     @Example
     fun routesAndKeysFollowTheNewestManifest() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         startWithManifest()
         assertThat(environment.ask("/safe/", emptyList()).status).isEqualTo(401)
         assertThat(environment.ask("/safe/", listOf(Header("X-Api-Key", "no"))).status)
@@ -71,9 +67,7 @@
 
     @Example
     fun withoutAManifestRequestsAreRefusedWithRetryAfter() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         runBlocking { environment.node.start() }
         val response = environment.ask("/safe/")
         assertThat(response.status).isEqualTo(503)
@@ -194,7 +188,7 @@
         repeat(2) {
             environment.startTarget("t$it", "model") { request, connection ->
                 val from = request.headers["Last-Event-Id"]?.toInt() ?: 0
-                startStream(request, connection)
+                EdgeTestEnvironment.startStream(request, connection)
                 if (isFirst.getAndSet(false)) {
                     sendEvents(connection, 1..3)
                     connection.sendChunk("id: 4\ndata: tor".encodeToByteArray())
@@ -208,14 +202,14 @@
         }
         startWithManifest()
         val response = environment.ask("/stream/")
-        assertThat(response.body).isEqualTo((1..6).joinToString("") { event(it) })
+        assertThat(response.body).isEqualTo(EdgeTestEnvironment.events(1..6))
         assertThat(environment.arrivals.last().headers["Last-Event-Id"]).isEqualTo("3")
     }
 
     @Example
     fun nonResumableStreamThatBreaksIsVisibleToTheCaller() {
         environment.startTarget("t1", "model") { request, connection ->
-            startStream(request, connection)
+            EdgeTestEnvironment.startStream(request, connection)
             sendEvents(connection, 1..3)
             false
         }
@@ -229,7 +223,7 @@
     fun callerDisconnectDuringAStreamClosesTheTargetsConnection() {
         val hasDisconnected = AtomicBoolean()
         environment.startTarget("t1", "model") { request, connection ->
-            startStream(request, connection)
+            EdgeTestEnvironment.startStream(request, connection)
             sendEvents(connection, 1..1)
             hasDisconnected.set(withTimeout(2_000) { connection.awaitClose() })
             false
@@ -280,7 +274,7 @@
     fun stalledStreamIsAwaitedWhenNoRetryIsLeft() {
         EdgeTestEnvironment("bounds.retry_slack=0\nbounds.retry_budget_ratio=0").use { edge ->
             edge.startTarget("t1", "model") { request, connection ->
-                startStream(request, connection)
+                EdgeTestEnvironment.startStream(request, connection)
                 sendEvents(connection, 1..2)
                 delay(1_600)
                 sendEvents(connection, 3..4)
@@ -289,7 +283,7 @@
             }
             edge.writeManifest()
             edge.start()
-            assertThat(edge.ask("/stream/").body).isEqualTo((1..4).joinToString("") { event(it) })
+            assertThat(edge.ask("/stream/").body).isEqualTo(EdgeTestEnvironment.events(1..4))
             assertThat(edge.arrivals).hasSize(1)
         }
     }
@@ -324,9 +318,7 @@
 
     @Example
     fun targetsStayInUseThroughAStoreOutageAndCompaction() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         startWithManifest()
         environment.store.isUnavailable = true
         Thread.sleep(500)
@@ -343,9 +335,7 @@
      */
     @Example
     fun manifestIsReadSoonAfterTheStoreRespondsAgain() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         startWithManifest()
         environment.store.isUnresponsive = true
         val calls = environment.store.manifestCallCount
@@ -357,12 +347,8 @@
 
     @Example
     fun leavingTargetsAndInvalidEntriesGetNoRequests() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
-        environment.startTarget("t2") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
+        environment.startSoundTarget("t2")
         environment.store.write("servers", "odd", """{"service":7,"state":"dancing"}""")
         startWithManifest()
         environment.writeEntry("t1", "api", 1, "draining")
@@ -376,9 +362,7 @@
     @Example
     fun targetThatLeavesAfterADeeplyNestedEntryGetsNoRequests() {
         repeat(2) {
-            environment.startTarget("t$it") { request, connection ->
-                EdgeTestEnvironment.sendSignedResponse(request, connection)
-            }
+            environment.startSoundTarget("t$it")
         }
         startWithManifest()
         val nested = "[".repeat(100_000) + "]".repeat(100_000)
@@ -393,9 +377,7 @@
 
     @Example
     fun targetsDeadlineIsCappedByTheRoutesTimeout() {
-        environment.startTarget("t1") { request, connection ->
-            EdgeTestEnvironment.sendSignedResponse(request, connection)
-        }
+        environment.startSoundTarget("t1")
         startWithManifest()
         runBlocking {
             environment.connect().use { connection ->
@@ -428,18 +410,6 @@
         return true
     }
 
-    private suspend fun startStream(request: IncomingRequest, connection: CallerConnection) =
-        connection.startResponse(
-            200,
-            listOf(
-                Header("Request-Id", request.headers["Request-Id"].orEmpty()),
-                Header("Response-Signature", "s"),
-                Header("Content-Type", "text/event-stream")
-            )
-        )
-
     private suspend fun sendEvents(connection: CallerConnection, ids: Iterable<Int>) =
-        ids.forEach { connection.sendChunk(event(it).encodeToByteArray()) }
-
-    private fun event(id: Int) = "id: $id\ndata: text $id\n\n"
+        ids.forEach { connection.sendChunk(EdgeTestEnvironment.event(it).encodeToByteArray()) }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -47,6 +47,9 @@
         writeEntry(id, service, server.port, "ready")
     }
 
+    /** Starts a target that answers each request. */
+    fun startSoundTarget(id: String) = startTarget(id, handle = ::sendSignedResponse)
+
     fun writeEntry(id: String, service: String, port: Int, state: String) = store.write(
         "servers",
         id,
@@ -173,20 +176,32 @@
             )
         }
 
+        /** The headers of a response to [request] that a target has signed. */
+        fun signedHeaders(request: IncomingRequest) = listOf(
+            Header("Request-Id", request.headers["Request-Id"].orEmpty()),
+            Header("Response-Signature", "s")
+        )
+
         /** Sends a complete, signed response as a healthy target does. */
         suspend fun sendSignedResponse(
             request: IncomingRequest,
             connection: CallerConnection
         ): Boolean {
-            connection.send(
-                200,
-                listOf(
-                    Header("Request-Id", request.headers["Request-Id"].orEmpty()),
-                    Header("Response-Signature", "s")
-                ),
-                "answer".encodeToByteArray()
-            )
+            connection.send(200, signedHeaders(request), "answer".encodeToByteArray())
             return true
         }
+
+        /** Begins the stream of a healthy target. */
+        suspend fun startStream(request: IncomingRequest, connection: CallerConnection) =
+            connection.startResponse(
+                200,
+                signedHeaders(request) + Header("Content-Type", "text/event-stream")
+            )
+
+        /** The event of a stream with [id]. */
+        fun event(id: Int) = "id: $id\ndata: text $id\n\n"
+
+        /** The events of a stream with [ids]. */
+        fun events(ids: Iterable<Int>) = ids.joinToString("", transform = ::event)
     }
 }
