--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -57,7 +57,13 @@
             val inProgress = load.runningCount + load.waitingCount
             control.post { scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs) }
         }
-        report.restMs?.let { control.post { scheduler.onRest(sequence, nowMs + it) } }
+        report.restMs?.let { restMs ->
+            control.post {
+                scheduler.onRest(sequence, nowMs + restMs)
+                // The last request that could wait so long has no time left for the next decision.
+                control.timers.after(restMs) { scheduler.decide(clock.nowMs()) }
+            }
+        }
     }
 
     /** Reports the average milliseconds between the first events for the ticket with [sequence]. */
