Believe no response without an id on a connection that was used before

Callers got 503 for requests that ran, some requests ran twice, and units of quotas were returned for them. A target in trouble may send additional bytes after a complete response. A refusal among them, without an id, was taken for the response to the next request on that connection.

ResponseRule now holds in one place what is believed of a response: whose it is, on which connection, at which moment. A response without an id is believed only as the first one on a connection that has carried nothing else; one with several ids never. Others are skipped, logged and counted.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.platform.fleet.TargetReport
 import org.bronzetide.scheduling.fleet.FleetDecision
 import org.bronzetide.scheduling.fleet.FleetOutcome
 import org.bronzetide.scheduling.fleet.FleetTicket
@@ -199,19 +200,41 @@
         ticketSequence: Long,
         policy: StallPolicy
     ): TargetClient.Beginning =
-        client.begin(state.call, target, state.relay.lastEventId, policy) { report ->
+        client.begin(
+            state.call,
+            target,
+            state.relay.lastEventId,
+            policy,
+            SendObserver(state, target, ticketSequence)
+        )
+
+    private inner class SendObserver(
+        private val state: State,
+        private val target: TargetEntry,
+        private val ticketSequence: Long
+    ) : TargetClient.Observer {
+        override fun onReport(report: TargetReport) {
             scheduler.onReport(ticketSequence, report)
-            report.restMs?.let { onRest(state, target, it) }
+            val restMs = report.restMs ?: return
+            log.request(
+                "target rests",
+                state.call.requestId,
+                "target" to target.id,
+                "forMs" to restMs
+            )
+            metrics.onTargetRest()
         }
 
-    private fun onRest(state: State, target: TargetEntry, restMs: Long) {
-        log.request(
-            "target rests",
-            state.call.requestId,
-            "target" to target.id,
-            "forMs" to restMs
-        )
-        metrics.onTargetRest()
+        override fun onForeignResponse(status: Int, requestId: String?) {
+            log.request(
+                "foreign response skipped",
+                state.call.requestId,
+                "target" to target.id,
+                "status" to status,
+                "responseId" to requestId
+            )
+            metrics.onForeignResponse()
+        }
     }
 
     private suspend fun awaitAttempt(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -23,10 +23,9 @@
  * The end of a response that has neither a length nor chunks is the end of its connection, which a
  * crash of the target ends as well. Such a response is whole only if the target still listens.
  *
- * A connection is reused only after a response was read to its end, and never for the same request
- * again: targets may send a response twice, and the copy of a refusal would be taken for the
- * response to the next send. An abandoned connection is closed, which tells the target that the
- * response is no longer needed.
+ * Which response belongs to a send is decided by [ResponseRule]; others are skipped. A connection is
+ * reused only after a response was read to its end, and never for the same request again. An
+ * abandoned connection is closed, which tells the target that the response is no longer needed.
  */
 internal class TargetClient(
     private val pool: ConnectionPool,
@@ -58,17 +57,25 @@
         class Ended(val attempt: Attempt) : Beginning()
     }
 
+    /** Gets what targets say besides the response to the request. */
+    interface Observer {
+        /** The head of the response told [report] about its target. */
+        fun onReport(report: TargetReport)
+
+        /** A response with [status] and the id [requestId] was skipped as not the request's own. */
+        fun onForeignResponse(status: Int, requestId: String?)
+    }
+
     /**
      * Sends [call] to [target] and waits for the head of the response. A stream is resumed after
-     * the event [resumeAfterId], if there is one. [onReport] gets what the target says about
-     * itself.
+     * the event [resumeAfterId], if there is one.
      */
     suspend fun begin(
         call: Call,
         target: TargetEntry,
         resumeAfterId: Long?,
         stallPolicy: StallPolicy,
-        onReport: (TargetReport) -> Unit
+        observer: Observer
     ): Beginning {
         val connection = try {
             connect(call, target)
@@ -87,11 +94,13 @@
         var isOpen = false
         try {
             connection.send(outgoing(call, target, resumeAfterId))
-            val response = receiveMatching(call, connection, stallPolicy)
+            val response = stallPolicy.await(isFirst = true) {
+                receiveOwn(call, connection, observer)
+            }
             val report = TargetReport.of(response.status, response.headers)
             if (report.isLeaving) departures.mark(target)
-            onReport(report)
-            if (response.isRefusal || report.restMs != null) {
+            observer.onReport(report)
+            if (ResponseRule.isRefusal(response) || report.restMs != null) {
                 val attempt = readRefusal(response)
                 isOpen = tryRelease(call, target, connection, response)
                 return Beginning.Ended(attempt)
@@ -188,34 +197,30 @@
         return OutgoingRequest(call.request.method, call.request.requestTarget, headers, call.body)
     }
 
-    /**
-     * Receives the response to [call], skipping late responses to earlier requests on this
-     * connection.
-     */
-    private suspend fun receiveMatching(
+    /** Receives the response to [call], skipping those that are not its own. */
+    private suspend fun receiveOwn(
         call: Call,
         connection: HttpConnection,
-        stallPolicy: StallPolicy
+        observer: Observer
     ): IncomingResponse {
-        repeat(MAX_MISMATCHED_RESPONSES) {
-            val response = stallPolicy.await(isFirst = true) { connection.receive() }
+        repeat(MAX_FOREIGN_RESPONSES) { index ->
+            val response = connection.receive()
+            val isFirst = index == 0 && !connection.isReused
+            if (ResponseRule.isOwn(response, call.requestId, isFirst)) return response
             val id = response.headers[PlatformHeaders.REQUEST_ID]
-            if (id == null || call.requestId == null || id == call.requestId) return response
-            response.body.readAll(MAX_RESPONSE_BYTES)
+            observer.onForeignResponse(response.status, id)
+            if (!response.body.skip(MAX_RESPONSE_BYTES)) throw IOException("endless response")
         }
         throw IOException("answers to other requests")
     }
 
-    private val IncomingResponse.isRefusal: Boolean
-        get() = status == MISDIRECTED || headers[PlatformHeaders.NOT_EXECUTED] != null
-
     private suspend fun readRefusal(response: IncomingResponse): Attempt {
         response.body.readAll(MAX_RESPONSE_BYTES)
         val outcome =
             if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
         val reason = "target refused, ${response.status}"
         val result =
-            if (response.isRefusal) SendResult.NotRun(reason) else SendResult.MayHaveRun(reason)
+            if (ResponseRule.isRefusal(response)) SendResult.NotRun(reason) else SendResult.MayHaveRun(reason)
         return Attempt(result, outcome)
     }
 
@@ -266,7 +271,7 @@
         val notRunStatuses = setOf(408, 429, 503)
         const val MIN_CLIENT_ERROR = 400
         const val MIN_SERVER_ERROR = 500
-        const val MAX_MISMATCHED_RESPONSES = 3
+        const val MAX_FOREIGN_RESPONSES = 3
 
         /** Responses that are not streamed are small; this caps what a faulty target may send. */
         const val MAX_RESPONSE_BYTES = 4_194_304
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -34,6 +34,10 @@
     fun onTargetRest() =
         Counter.builder("bronzetide.edge.target.rests").register(registry).increment()
 
+    /** Counts a response of a target that belongs to another request, or to none. */
+    fun onForeignResponse() =
+        Counter.builder("bronzetide.edge.foreign.responses").register(registry).increment()
+
     /** Counts a failed call to the store. */
     fun onStoreFailure() =
         Counter.builder("bronzetide.edge.store.failures").register(registry).increment()
