Spend only a share of each quota while the others' grants are unknown

An account got more than its quota (QUOTA): each host held a copy of the whole bucket and spent it whether or not it knew what the others had granted. The loss grows with the number of hosts, and whole restarts and lost aggregators make all of them blind at once.

PeerKnowledge is the one rule for what a host may spend: all that is left while totals arrive, otherwise its share of what is left, less what the others probably granted. A host that starts begins with empty buckets, and takes itself neither for the only host nor for the aggregator until a peer answers. A backup of the aggregator gets reports on quotas, so that the loss of one of them costs no update, and grants that are many at once are announced early.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -86,17 +86,26 @@
      * Handles a probe from a peer and returns the acknowledgement to send back.
      *
      * If the sender is known here in another state than it announces, the acknowledgement includes
-     * that state, so that the sender can refute it.
+     * that state, so that the sender can refute it. A sender that is not known yet has just
+     * started; the acknowledgement tells it the members, or some of them in a large cluster.
      */
     public fun onProbe(probe: Probe): Probe {
         val sender = probe.sender
+        val isNew = sender.id !in members
         apply(sender)
         probe.rumors.forEach { apply(it) }
         val view = members[sender.id]
         if (view != null && view.state != sender.state) rumors[sender.id] = 0
-        return Probe(self, rumorsToSend(sender.id))
+        return Probe(
+            self,
+            rumorsToSend(sender.id) + if (isNew) membersForNewcomer() else emptyList()
+        )
     }
 
+    private fun membersForNewcomer(): List<Member> =
+        members.values.filter { it.state != MemberState.DEAD && it.id != self.id }
+            .shuffled(random).take(MAX_MEMBERS_FOR_NEWCOMER)
+
     /** Handles the acknowledgement of a probe. */
     public fun onAck(ack: Probe) {
         unacknowledgedSinceMs.remove(ack.sender.id)
@@ -233,6 +242,9 @@
 
     private companion object {
         const val MAX_RUMORS_PER_MESSAGE = 6
+
+        /** Some 10 KB; in a larger cluster the newcomer learns the others from rumors. */
+        const val MAX_MEMBERS_FOR_NEWCOMER = 100
         const val MAX_RUMOR_TRANSMISSIONS = 12
         const val PAUSE_THRESHOLD_PERIODS = 3
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -199,14 +199,13 @@
         target: TargetEntry,
         ticketSequence: Long,
         policy: StallPolicy
-    ): TargetClient.Beginning =
-        client.begin(
-            state.call,
-            target,
-            state.relay.lastEventId,
-            policy,
-            SendObserver(state, target, ticketSequence)
-        )
+    ): TargetClient.Beginning = client.begin(
+        state.call,
+        target,
+        state.relay.lastEventId,
+        policy,
+        SendObserver(state, target, ticketSequence)
+    )
 
     private inner class SendObserver(
         private val state: State,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -23,8 +23,8 @@
  * The end of a response that has neither a length nor chunks is the end of its connection, which a
  * crash of the target ends as well. Such a response is whole only if the target still listens.
  *
- * Which response belongs to a send is decided by [ResponseRule]; others are skipped. A connection is
- * reused only after a response was read to its end, and never for the same request again. An
+ * Which response belongs to a send is decided by [ResponseRule]; others are skipped. A connection
+ * is reused only after a response was read to its end, and never for the same request again. An
  * abandoned connection is closed, which tells the target that the response is no longer needed.
  */
 internal class TargetClient(
@@ -220,7 +220,14 @@
             if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
         val reason = "target refused, ${response.status}"
         val result =
-            if (ResponseRule.isRefusal(response)) SendResult.NotRun(reason) else SendResult.MayHaveRun(reason)
+            if (ResponseRule.isRefusal(
+                    response
+                )
+            ) {
+                SendResult.NotRun(reason)
+            } else {
+                SendResult.MayHaveRun(reason)
+            }
         return Attempt(result, outcome)
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -23,7 +23,8 @@
  * Every host reports to one aggregator, which replies with the sum of all others, so that a host's
  * traffic does not grow with the number of hosts. The aggregator is the first live host in an order
  * that all hosts compute alike. A host without responses from the aggregator uses the next in
- * order; decisions on requests never wait for it.
+ * order, its backup, which gets reports on quotas all the time; decisions on requests never wait
+ * for either. A host that has just started is no aggregator until it has found its peers.
  */
 internal class PeerCoordinator(
     private val settings: HostSettings,
@@ -61,9 +62,21 @@
     /** Where reports came from; membership learns of a host that has started only later. */
     private val reporterIps = HashMap<String, String>()
     private val crashEvidence = CrashEvidenceExchange(scheduler.poisonParts, log)
+    private var seeds = settings.seeds
+    private val quotaExchange = QuotaExchange(
+        quotas,
+        aggregator,
+        membership,
+        clock,
+        timers,
+        log,
+        if (hasOtherSeeds) ASSUMED_HOST_COUNT else 1,
+        ::sendGrants
+    )
     private val unresponsiveUntilMs = HashMap<NodeId, Long>()
-    private val lastSeenAtMs = HashMap<String, Long>()
+    private val startedAtMs = clock.nowMs()
     private var currentAggregator: NodeId? = null
+    private var backup: NodeId? = null
     private var exchangeCount = 0L
 
     /** When the current aggregator's last summary arrived, or when it was chosen. */
@@ -72,7 +85,8 @@
 
     /** When the last summary of any aggregator arrived. */
     private var lastUpdateAtMs = clock.nowMs()
-    private var seeds = settings.seeds
+
+    private val hasOtherSeeds: Boolean get() = seeds.any { it.host != settings.ip }
 
     /** The number of hosts that are not known to be dead, this one included. */
     val hostCount: Int get() = membership.view().count { it.state != MemberState.DEAD }
@@ -88,10 +102,27 @@
 
     /** Starts the periodic work; must be called on the control thread. */
     fun start() {
+        probe()
         timers.every(PROBE_INTERVAL_MS) { probe() }
+        scheduleJoin()
         scheduleExchange()
     }
 
+    /** Probes the seeds often while none of them has answered: all hosts may have just started. */
+    private fun scheduleJoin() {
+        timers.after(JOIN_PROBE_INTERVAL_MS) {
+            if (isJoining(clock.nowMs())) {
+                probe()
+                scheduleJoin()
+            }
+        }
+    }
+
+    /** Whether this host has started a moment ago and not found any of its peers yet. */
+    private fun isJoining(nowMs: Long): Boolean = nowMs - startedAtMs < JOIN_TIMEOUT_MS &&
+        hasOtherSeeds &&
+        membership.view().none { it.id != self }
+
     /** Sets the addresses of hosts that are probed until they are known as members. */
     fun updateSeeds(found: List<SocketAddress>) {
         seeds = found
@@ -108,6 +139,7 @@
         is PeerMessage.Probe -> onProbe(message, senderIp)
         is PeerMessage.Report -> onReport(message, senderIp)
         is PeerMessage.Summary -> onSummary(message)
+        is PeerMessage.Grants -> onGrants(message)
     }
 
     /** The IP addresses of the peers that are not known to be dead, in random order. */
@@ -119,7 +151,7 @@
         membership.tick().forEach { sendProbe(it.probe, it.to, isAck = false) }
         val known = membership.view().filter { it.state != MemberState.DEAD }
             .map { it.host }.toSet()
-        seeds.map { it.host }.filter { it !in known }.forEach { seed ->
+        seeds.map { it.host }.filter { it !in known && it != settings.ip }.forEach { seed ->
             val probe = Membership.Probe(membership.self, emptyList())
             env.send(addressOf(seed), PeerMessage.Probe(probe, false, env.manifestVersion()))
         }
@@ -169,22 +201,12 @@
     /** The averages of all targets are large, so only some of the summaries include them. */
     private val includesSlowdowns: Boolean get() = exchangeCount % SLOWDOWN_INTERVALS == 0L
 
-    /**
-     * The number of hosts that share quotas, including those seen recently: an isolated host
-     * considers all others dead and is considered dead by them, while both sides grant quotas.
-     */
-    private fun quotaHostCount(nowMs: Long): Int {
-        membership.view().filter { it.state != MemberState.DEAD }
-            .forEach { lastSeenAtMs[it.host] = nowMs }
-        lastSeenAtMs.values.removeIf { nowMs - it > SEEN_HOST_RETENTION_MS }
-        return lastSeenAtMs.size.coerceAtLeast(1)
-    }
-
     private fun exchange() {
         val nowMs = clock.nowMs()
         exchangeCount++
         checkAggregator(nowMs)
-        val chosen = chooseAggregator(nowMs)
+        val (chosen, standby) = chooseAggregators(nowMs)
+        backup = standby
         if (chosen != currentAggregator) {
             log.stateChange(
                 "aggregator chosen",
@@ -203,6 +225,7 @@
             scheduler.takeObservedSlowdowns(),
             scheduler.ownDemands(nowMs)
         )
+        reportToBackup(report, nowMs)
         when {
             chosen == null -> Unit
 
@@ -214,7 +237,31 @@
 
             else -> membership.find(chosen)?.let {
                 val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 1)
-                env.send(addressOf(it.host), toMessage(report, crashes))
+                env.send(addressOf(it.host), report.toMessage(crashes))
+            }
+        }
+    }
+
+    /** Sends quotas only: the backup's sums must be complete the moment the aggregator is lost. */
+    private fun reportToBackup(report: LoadReport, nowMs: Long) {
+        val quotaReport = LoadReport(
+            report.host,
+            emptyMap(),
+            report.quotaTotals,
+            report.quotaTotalsAtLastUpdate
+        )
+        when (val to = backup) {
+            null -> Unit
+
+            self -> {
+                aggregator.onReport(quotaReport, nowMs)
+                // Each report got the sums at that time as its reply.
+                aggregator.onAnnounced()
+            }
+
+            else -> membership.find(to)?.let {
+                val message = quotaReport.toMessage(crashes = null, isForBackup = true)
+                env.send(addressOf(it.host), message)
             }
         }
     }
@@ -231,9 +278,7 @@
             unresponsiveUntilMs[aggregatorId] = nowMs + AGGREGATOR_EXCLUSION_MS
             aggregatorUpdateAtMs = nowMs
         }
-        if (nowMs - lastUpdateAtMs > exchangeIntervalMs() * UPDATE_INTERVALS) {
-            quotas.rateShare = ISOLATED_QUOTA_SHARE / quotaHostCount(nowMs)
-        }
+        quotaExchange.checkAge(exchangeIntervalMs())
         if (hasCurrentLoads && nowMs - lastUpdateAtMs > LOADS_TIMEOUT_MS) {
             hasCurrentLoads = false
             log.stateChange(
@@ -247,11 +292,14 @@
         }
     }
 
-    private fun chooseAggregator(nowMs: Long): NodeId? {
+    /** Returns the aggregator and its backup. */
+    private fun chooseAggregators(nowMs: Long): Pair<NodeId?, NodeId?> {
+        if (isJoining(nowMs)) return null to null
         unresponsiveUntilMs.values.removeIf { it <= nowMs }
         val usable = membership.eligible().filter { it.id !in unresponsiveUntilMs }
         val large = usable.filter { it.cpuCores >= LARGE_HOST_CORES }.ifEmpty { usable }
-        return RendezvousHash.pick("load-hub", large.map { it.id })
+        val ranked = RendezvousHash.rank("load-hub", large.map { it.id })
+        return ranked.getOrNull(0) to ranked.getOrNull(1)
     }
 
     private fun serveAsAggregator(nowMs: Long) {
@@ -261,6 +309,7 @@
         // Summaries go to all hosts: most runs that a crash ended are sound and never recur.
         val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 2)
         aggregator.hosts().forEach { sendSummary(it, slowdowns, crashes) }
+        aggregator.onAnnounced()
     }
 
     private fun sendSummary(
@@ -272,10 +321,10 @@
         val message = PeerMessage.Summary(
             self.value,
             summary.loads.toMessages(),
-            quotaMessages(summary.quotaTotals),
+            summary.quotaTotals.toQuotaMessages(),
             summary.hostCount,
             summary.suspects.toList(),
-            slowdowns.map { PeerMessage.Slowdown(it.key, (it.value * PERCENT).toInt()) },
+            slowdowns.toSlowdownMessages(),
             aggregator.ageMs(clock.nowMs()),
             summary.demands.toDemandMessages(),
             crashes
@@ -285,21 +334,15 @@
     }
 
     private fun onReport(message: PeerMessage.Report, senderIp: String) {
-        val report = LoadReport(
-            message.host,
-            message.loads.toLoads(),
-            message.quotas.associate { it.account to it.units },
-            message.quotas.associate { it.account to it.unitsAtLastUpdate },
-            message.suspects.toSet(),
-            message.slowdowns.associate {
-                it.target to LoadReport.Slowdown(it.percent / PERCENT, it.samples)
-            },
-            message.demands.toDemands()
-        )
+        val report = message.toLoadReport()
         val nowMs = clock.nowMs()
         if (message.host !in aggregator.hosts()) crashEvidence.onHostAdded()
         reporterIps[message.host] = senderIp
         aggregator.onReport(report, nowMs)
+        quotaExchange.announceIfMany(self.value, exchangeIntervalMs())
+        if (message.isForBackup) {
+            return sendGrants(message.host, quotaExchange.totalsFor(message.host, self.value))
+        }
         message.crashes?.let { crashEvidence.onReceived(it, isReport = true, nowMs) }
         // Hosts that have chosen this one are served even if it has chosen another aggregator.
         if (currentAggregator != self) {
@@ -307,9 +350,20 @@
         }
     }
 
+    private fun sendGrants(host: String, message: PeerMessage.Grants) {
+        if (host == self.value) return onGrants(message)
+        reporterIps[host]?.let { env.send(addressOf(it), message) }
+    }
+
+    private fun onGrants(message: PeerMessage.Grants) =
+        quotaExchange.onGrants(message, isCurrent(message.aggregator), exchangeIntervalMs())
+
+    private fun isCurrent(name: String): Boolean = name == currentAggregator?.value
+
     private fun onSummary(message: PeerMessage.Summary) {
         val nowMs = clock.nowMs()
-        if (message.aggregator == currentAggregator?.value) aggregatorUpdateAtMs = nowMs
+        val isPrimary = isCurrent(message.aggregator)
+        if (isPrimary) aggregatorUpdateAtMs = nowMs
         lastUpdateAtMs = nowMs
         message.crashes?.let { crashEvidence.onReceived(it, isReport = false, nowMs) }
         if (!hasCurrentLoads) {
@@ -320,74 +374,33 @@
                 "hub" to message.aggregator
             )
         }
-        // Hosts that do not report to the aggregator may grant their share by themselves.
-        val sharing = quotaHostCount(nowMs).coerceAtLeast(message.hostCount)
-        quotas.rateShare = message.hostCount.toDouble() / sharing
-        val quotaTotals = message.quotas.associate { it.account to it.units }
-        quotas.onPeerTotals(message.aggregator, quotaTotals, nowMs, message.aggregatorAgeMs)
-        quotas.propagationDelayMs = exchangeIntervalMs() * UPDATE_INTERVALS
+        quotaExchange.onSummary(message, isPrimary, exchangeIntervalMs())
         scheduler.updatePeerLoads(message.loads.toLoads(), nowMs, exchangeIntervalMs())
         scheduler.updatePeerDemands(message.demands.toDemands())
         scheduler.updatePeerSuspects(message.suspects.toSet())
-        scheduler.updateFleetSlowdowns(
-            message.slowdowns.associate { it.target to it.percent / PERCENT }
-        )
+        scheduler.updateFleetSlowdowns(message.slowdowns.toFactors())
         scheduler.hostCount = hostCount
         scheduler.decide(nowMs)
     }
 
-    private fun toMessage(report: LoadReport, crashes: PeerMessage.Crashes?) = PeerMessage.Report(
-        report.host,
-        report.loads.toMessages(),
-        report.quotaTotals.map { (account, units) ->
-            PeerMessage.QuotaTotal(account, units, report.quotaTotalsAtLastUpdate[account] ?: 0)
-        },
-        report.suspects.toList(),
-        report.slowdowns.map { (target, slowdown) ->
-            PeerMessage.Slowdown(target, (slowdown.factor * PERCENT).toInt(), slowdown.samples)
-        },
-        report.demands.toDemandMessages(),
-        crashes
-    )
-
-    private fun Map<String, FleetScheduler.PeerLoad>.toMessages() =
-        map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) }
-
-    private fun List<PeerMessage.Load>.toLoads() =
-        associate { it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens) }
-
-    private fun Map<String, Map<Int, Int>>.toDemandMessages() = flatMap { (service, byRank) ->
-        byRank.map { (rank, count) -> PeerMessage.Demand(service, rank, count) }
-    }
-
-    private fun List<PeerMessage.Demand>.toDemands(): Map<String, Map<Int, Int>> =
-        groupBy { it.service }
-            .mapValues { (_, demands) -> demands.associate { it.rank to it.count } }
-
-    private fun quotaMessages(totals: Map<String, Long>) =
-        totals.map { PeerMessage.QuotaTotal(it.key, it.value) }
-
     private fun addressOf(ip: String) = SocketAddress(ip, settings.peerPorts.first)
 
     private companion object {
         const val PROBE_INTERVAL_MS = 500L
+        const val JOIN_PROBE_INTERVAL_MS = 100L
+
+        /** After this time a host without peers takes itself for the only one. */
+        const val JOIN_TIMEOUT_MS = 3_000L
+
+        /** Assumed until the other hosts are known; larger fleets are seldom down as a whole. */
+        const val ASSUMED_HOST_COUNT = 16
 
         /** Bounds the age of peers' loads; shorter than most requests take. */
         const val MIN_EXCHANGE_INTERVAL_MS = 50L
         const val EXCHANGE_INTERVAL_MS_PER_HOST = 2.5
 
-        /** Longer than the network partitions from which hosts return. */
-        const val SEEN_HOST_RETENTION_MS = 30_000L
-
-        /** Below 1, as hosts that consider this one dead grant its share themselves. */
-        const val ISOLATED_QUOTA_SHARE = 0.5
-
         /** Slowdowns of 50 targets take about 1 KB; with 80 hosts they are sent every 0.4 s. */
         const val SLOWDOWN_INTERVALS = 2
-        const val PERCENT = 100.0
-
-        /** An update waits for a report and then for the summary; one of them may be lost. */
-        const val UPDATE_INTERVALS = 3
 
         /** Intervals without a summary after which the next host becomes the aggregator. */
         const val AGGREGATOR_TIMEOUT_INTERVALS = 5
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -30,7 +30,21 @@
         @CborLabel(4) val suspects: List<String> = emptyList(),
         @CborLabel(5) val slowdowns: List<Slowdown> = emptyList(),
         @CborLabel(6) val demands: List<Demand> = emptyList(),
-        @CborLabel(7) val crashes: Crashes? = null
+        @CborLabel(7) val crashes: Crashes? = null,
+        /** Whether it is a copy for the backup, which has quotas only. */
+        @CborLabel(8) val isForBackup: Boolean = false
+    ) : PeerMessage()
+
+    /** What the others have consumed of quotas, from an aggregator or its backup. */
+    @Serializable
+    @SerialName("g")
+    data class Grants(
+        @CborLabel(1) val aggregator: String,
+        /** The totals of some accounts; those left out are unchanged. */
+        @CborLabel(2) val quotas: List<QuotaTotal>,
+        @CborLabel(3) val hostCount: Int,
+        /** How long the sender has summed reports, in milliseconds. */
+        @CborLabel(4) val aggregatorAgeMs: Long
     ) : PeerMessage()
 
     /** The summed loads of all hosts but the receiver, sent by the aggregator. */
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -0,0 +1,65 @@
+package org.bronzetide.edge.peer
+
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.LoadReport
+
+/*
+ * Converts between the messages of peers and the types of the scheduler. Slowdowns travel as
+ * percentages, which take fewer bytes.
+ */
+
+private const val PERCENT = 100.0
+
+internal fun LoadReport.toMessage(
+    crashes: PeerMessage.Crashes?,
+    isForBackup: Boolean = false
+): PeerMessage.Report = PeerMessage.Report(
+    host,
+    loads.toMessages(),
+    quotaTotals.map { (account, units) ->
+        PeerMessage.QuotaTotal(account, units, quotaTotalsAtLastUpdate[account] ?: 0)
+    },
+    suspects.toList(),
+    slowdowns.map { (target, slowdown) ->
+        PeerMessage.Slowdown(target, (slowdown.factor * PERCENT).toInt(), slowdown.samples)
+    },
+    demands.toDemandMessages(),
+    crashes,
+    isForBackup
+)
+
+internal fun PeerMessage.Report.toLoadReport(): LoadReport = LoadReport(
+    host,
+    loads.toLoads(),
+    quotas.associate { it.account to it.units },
+    quotas.associate { it.account to it.unitsAtLastUpdate },
+    suspects.toSet(),
+    slowdowns.associate { it.target to LoadReport.Slowdown(it.percent / PERCENT, it.samples) },
+    demands.toDemands()
+)
+
+internal fun Map<String, FleetScheduler.PeerLoad>.toMessages(): List<PeerMessage.Load> =
+    map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) }
+
+internal fun List<PeerMessage.Load>.toLoads(): Map<String, FleetScheduler.PeerLoad> =
+    associate { it.target to FleetScheduler.PeerLoad(it.count, it.promptTokens) }
+
+internal fun Map<String, Map<Int, Int>>.toDemandMessages(): List<PeerMessage.Demand> =
+    flatMap { (service, byRank) ->
+        byRank.map { (rank, count) -> PeerMessage.Demand(service, rank, count) }
+    }
+
+internal fun List<PeerMessage.Demand>.toDemands(): Map<String, Map<Int, Int>> =
+    groupBy { it.service }
+        .mapValues { (_, demands) -> demands.associate { it.rank to it.count } }
+
+internal fun Map<String, Long>.toQuotaMessages(): List<PeerMessage.QuotaTotal> =
+    map { PeerMessage.QuotaTotal(it.key, it.value) }
+
+/** Converts slowdowns by target. */
+internal fun Map<String, Double>.toSlowdownMessages(): List<PeerMessage.Slowdown> =
+    map { PeerMessage.Slowdown(it.key, (it.value * PERCENT).toInt()) }
+
+/** Returns the slowdowns by target. */
+internal fun List<PeerMessage.Slowdown>.toFactors(): Map<String, Double> =
+    associate { it.target to it.percent / PERCENT }
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -0,0 +1,173 @@
+package org.bronzetide.edge.peer
+
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.Membership
+import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.coordination.TimerService
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.scheduling.fleet.LoadAggregator
+import org.bronzetide.scheduling.fleet.PeerKnowledge
+import org.bronzetide.scheduling.fleet.QuotaLimiter
+
+/**
+ * Keeps the host's knowledge of what the others grant of each quota.
+ *
+ * Totals come from the load aggregator and from its backup, so that the loss of one of them costs
+ * no update. An aggregator that learns of many grants of an account at once announces them before
+ * the next exchange: that is how a flood begins. While no totals arrive, and after the start until
+ * most of the known hosts have reported, the host may spend only its share of each quota.
+ *
+ * Confined to the control thread.
+ */
+internal class QuotaExchange(
+    private val quotas: QuotaLimiter,
+    private val aggregator: LoadAggregator,
+    private val membership: Membership,
+    private val clock: MonotonicClock,
+    private val timers: TimerService,
+    private val log: DecisionLog,
+    /** How many hosts may grant quotas until they are known. */
+    assumedHostCount: Int,
+    /** Sends totals of some accounts to the named host, or to this one. */
+    private val send: (String, PeerMessage.Grants) -> Unit
+) {
+    private val lastSeenAtMs = HashMap<String, Long>()
+    private val startedAtMs = clock.nowMs()
+    private var lastUpdateAtMs = startedAtMs
+    private var announcedAtMs = startedAtMs
+    private var isAnnouncing = false
+
+    /** Whether most of the known hosts have reported since the start, or there was time to. */
+    private var isJoined = false
+
+    init {
+        quotas.startEmpty(startedAtMs)
+        quotas.updateKnowledge(PeerKnowledge.Unknown(assumedHostCount), startedAtMs)
+    }
+
+    /** Handles totals with which the aggregator or its backup replies or announces grants. */
+    fun onGrants(message: PeerMessage.Grants, isPrimary: Boolean, intervalMs: Long) = update(
+        message.aggregator,
+        message.quotas,
+        message.hostCount,
+        message.aggregatorAgeMs,
+        isPrimary,
+        intervalMs
+    )
+
+    /** Handles the totals in a summary. */
+    fun onSummary(message: PeerMessage.Summary, isPrimary: Boolean, intervalMs: Long) = update(
+        message.aggregator,
+        message.quotas,
+        message.hostCount,
+        message.aggregatorAgeMs,
+        isPrimary,
+        intervalMs
+    )
+
+    private fun update(
+        from: String,
+        totals: List<PeerMessage.QuotaTotal>,
+        reportingCount: Int,
+        sourceAgeMs: Long,
+        isPrimary: Boolean,
+        intervalMs: Long
+    ) {
+        val nowMs = clock.nowMs()
+        lastUpdateAtMs = nowMs
+        quotas.propagationDelayMs = intervalMs * UPDATE_INTERVALS
+        val units = totals.associate { it.account to it.units }
+        quotas.onPeerTotals(from, units, nowMs, sourceAgeMs, isPrimary)
+        // Hosts that do not report to the aggregator may grant their share by themselves.
+        val sharing = hostCount(nowMs).coerceAtLeast(reportingCount)
+        val hasPeers = reportingCount > 1 && reportingCount * 2 >= sharing
+        isJoined = isJoined || hasPeers || nowMs - startedAtMs >= JOIN_TIMEOUT_MS
+        if (isJoined) change(PeerKnowledge.Current(reportingCount.toDouble() / sharing), nowMs)
+    }
+
+    /** Lowers what may be spent if no totals have arrived for too long. */
+    fun checkAge(intervalMs: Long) {
+        val nowMs = clock.nowMs()
+        val limitMs = maxOf(intervalMs * UNKNOWN_INTERVALS, MIN_UNKNOWN_MS)
+        if (!isJoined || nowMs - lastUpdateAtMs <= limitMs) return
+        change(PeerKnowledge.Unknown(hostCount(nowMs)), nowMs)
+    }
+
+    /** Announces grants to all hosts if those not announced yet are many. */
+    fun announceIfMany(self: String, intervalMs: Long) {
+        val nowMs = clock.nowMs()
+        val accounts = aggregator.unannounced().filter { (account, units) ->
+            units >= (quotas.announcedUnits(account) ?: Double.MAX_VALUE)
+        }.keys.toSet()
+        if (accounts.isEmpty() || isAnnouncing) return
+        val pauseMs = maxOf(MIN_ANNOUNCE_INTERVAL_MS, intervalMs / ANNOUNCEMENTS_PER_EXCHANGE)
+        val remainingMs = announcedAtMs + pauseMs - nowMs
+        if (remainingMs > 0) {
+            isAnnouncing = true
+            timers.after(remainingMs) {
+                isAnnouncing = false
+                announceIfMany(self, intervalMs)
+            }
+            return
+        }
+        announcedAtMs = nowMs
+        aggregator.onAnnounced(accounts)
+        aggregator.hosts().toList().forEach { send(it, totalsFor(it, self, accounts)) }
+    }
+
+    /** The totals of [accounts], or of all accounts, for [host]. */
+    fun totalsFor(host: String, self: String, accounts: Set<String>? = null): PeerMessage.Grants {
+        val totals = aggregator.quotaTotalsFor(host)
+            .filterKeys { accounts == null || it in accounts }
+        return PeerMessage.Grants(
+            self,
+            totals.toQuotaMessages(),
+            aggregator.hostCount,
+            aggregator.ageMs(clock.nowMs())
+        )
+    }
+
+    private fun change(knowledge: PeerKnowledge, nowMs: Long) {
+        val before = quotas.knowledge
+        quotas.updateKnowledge(knowledge, nowMs)
+        if (before::class == knowledge::class) return
+        log.stateChange(
+            "grants of peers",
+            "known" to (knowledge is PeerKnowledge.Current),
+            "rateShare" to knowledge.rateShare,
+            "ageMs" to nowMs - lastUpdateAtMs
+        )
+    }
+
+    /**
+     * The number of hosts that share quotas, including those seen recently: an isolated host
+     * considers all others dead and is considered dead by them, while both sides grant quotas.
+     */
+    private fun hostCount(nowMs: Long): Int {
+        membership.view().filter { it.state != MemberState.DEAD }
+            .forEach { lastSeenAtMs[it.host] = nowMs }
+        lastSeenAtMs.values.removeIf { nowMs - it > SEEN_HOST_RETENTION_MS }
+        return lastSeenAtMs.size.coerceAtLeast(1)
+    }
+
+    private companion object {
+        /** After this time a host without peers is the only one. */
+        const val JOIN_TIMEOUT_MS = 3_000L
+
+        /** Longer than the network partitions from which hosts return. */
+        const val SEEN_HOST_RETENTION_MS = 30_000L
+
+        /** An update waits for a report and then for the summary; one of them may be lost. */
+        const val UPDATE_INTERVALS = 3
+
+        /** Of two replies in each interval, all were lost. */
+        const val UNKNOWN_INTERVALS = 2
+
+        /** Longer than the pauses of a process that is short of processor time. */
+        const val MIN_UNKNOWN_MS = 300L
+
+        // Bound the messages of an aggregator while an account floods.
+        const val MIN_ANNOUNCE_INTERVAL_MS = 50L
+        const val ANNOUNCEMENTS_PER_EXCHANGE = 4
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -0,0 +1,142 @@
+package org.bronzetide.edge.peer
+
+import kotlin.random.Random
+import org.bronzetide.coordination.ManualClock
+import org.bronzetide.coordination.TimerService
+import org.bronzetide.edge.entry.QuotaLimiterAdapter
+import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.platform.fleet.SocketAddress
+import org.bronzetide.scheduling.fleet.FleetDecision
+import org.bronzetide.scheduling.fleet.FleetOutcome
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.FleetTicket
+import org.bronzetide.scheduling.fleet.PromptPart
+import org.bronzetide.scheduling.fleet.QuotaLimiter
+
+/**
+ * Hosts that exchange messages through a network that loses a share of [lossShare] of them and
+ * isolates some hosts. All of it runs on one clock, in steps of [STEP_MS] milliseconds.
+ */
+internal class PeerNetwork(seed: Long, private val lossShare: Double = 0.0) {
+    val clock = ManualClock()
+    val hosts = ArrayList<Host>()
+    val random = Random(seed)
+    private var startedCount = 0
+
+    /** Starts [count] hosts at the same time, which know the first one as their seed. */
+    fun startHosts(count: Int): List<Host> {
+        val started = List(count) { createHost() }
+        started.forEach { it.coordinator.start() }
+        return started
+    }
+
+    fun startHost(): Host = startHosts(1).single()
+
+    /** Replaces the processes of all hosts at once; none of them knows what the old ones did. */
+    fun restartAll() {
+        val names = hosts.map { it.name }
+        hosts.clear()
+        startedCount = 0
+        startHosts(names.size)
+    }
+
+    fun run(durationMs: Long) {
+        repeat((durationMs / STEP_MS).toInt()) {
+            clock.advance(STEP_MS)
+            hosts.forEach { it.timers.runDue() }
+        }
+    }
+
+    private fun createHost(): Host = Host(startedCount++).also { hosts += it }
+
+    private fun deliver(from: Host, to: SocketAddress, message: PeerMessage) {
+        val receiver = hosts.find { it.ip == to.host } ?: return
+        val isLost = from.isIsolated || receiver.isIsolated || random.nextDouble() < lossShare
+        if (!isLost && from in hosts) receiver.coordinator.onMessage(message, from.ip)
+    }
+
+    inner class Host(index: Int) {
+        val name = "n$index"
+        val ip = "10.0.0.${index + 1}"
+        val timers = TimerService(clock)
+        val quotas = QuotaLimiter()
+        var isIsolated = false
+        var manifestVersion = 1L
+        val newerManifestAt = HashSet<String>()
+        private val seed = hosts.firstOrNull { !it.isIsolated }
+        private var sequences = 1_000L
+        private val scheduler = FleetScheduler("z1", Random(index))
+        private val settings = EdgeTestEnvironment.settings(1, name).copy(
+            ip = ip,
+            peerPorts = 7_600..7_600,
+            seeds = listOf(SocketAddress(seed?.ip ?: ip, 8_000))
+        )
+        val coordinator = PeerCoordinator(
+            settings,
+            clock,
+            timers,
+            scheduler,
+            quotas,
+            DecisionLog(clock, omitsRequests = true),
+            PeerCoordinator.Environment(
+                { to, message -> deliver(this, to, message) },
+                { manifestVersion },
+                { newerManifestAt += it }
+            )
+        )
+
+        init {
+            scheduler.updateTargets(listOf(FleetTarget("t1", "model", "z1", 8, false, true)))
+        }
+
+        fun send(count: Int) = repeat(count) {
+            val ticket = FleetTicket(it.toLong(), "model", 0, 10, 1, 100_000, 100_000)
+            scheduler.enroll(ticket, 0) { decision -> check(decision is FleetDecision.Send) }
+        }
+
+        fun isAggregator(): Boolean = coordinator.aggregatorName.startsWith("$name~")
+
+        /** Whether a request of [account] over [units] is granted, with [QUOTA_PER_S] * [share]. */
+        fun admits(units: Long, account: String = "a", share: Double = 1.0): Boolean {
+            val perSecond =
+                QUOTA_PER_S * share * (1 + 0.1 * QuotaLimiterAdapter.GRANTED_OVERAGE_SHARE)
+            val slack = QUOTA_SLACK * QuotaLimiterAdapter.GRANTED_SLACK_SHARE
+            val waitMs =
+                quotas.tryConsume(account, perSecond, perSecond, units, clock.nowMs(), slack)
+            return waitMs == null
+        }
+
+        val blocksPoison: Boolean get() = scheduler.poisonParts.findBlocked(listOf(POISON)) != null
+
+        /** A target crashes during a run of a prompt with the poison part. */
+        fun loseTarget() {
+            val sequence = ++sequences
+            val ticket = FleetTicket(
+                sequence,
+                "model",
+                priority = 0,
+                promptTokens = 10,
+                expectedEvents = 1,
+                dueAtMs = Long.MAX_VALUE / 2,
+                startByMs = Long.MAX_VALUE / 2,
+                sharedParts = listOf(SYSTEM, POISON)
+            )
+            scheduler.enroll(ticket, clock.nowMs()) { check(it is FleetDecision.Send) }
+            scheduler.release(sequence, FleetOutcome.CRASHED, clock.nowMs() + STEP_MS)
+            val servedAtMs = clock.nowMs() + 2 * STEP_MS
+            hosts.forEach { it.scheduler.poisonParts.onServed(listOf(SYSTEM), servedAtMs) }
+        }
+
+        fun peerCount(): Int = scheduler.views(0).single().peerCount
+    }
+
+    companion object {
+        const val STEP_MS = 10L
+        const val QUOTA_PER_S = 60_000.0
+        const val QUOTA_SLACK = 140_000.0
+        private val SYSTEM = PromptPart("system")
+        private val POISON = PromptPart("poison")
+    }
+}
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
@@ -0,0 +1,149 @@
+package org.bronzetide.edge.peer
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.assertj.core.api.Assertions.assertThat
+
+/**
+ * What accounts get of their quotas from all hosts together, while hosts do not know what the
+ * others grant: an account that floods may not get more than its bound, and one that is small
+ * beside its quota may not be refused.
+ */
+class QuotaAcrossHostsTest {
+    private var network = PeerNetwork(seed = 1)
+    private val hosts get() = network.hosts
+    private val grants = ArrayList<Grant>()
+    private var smallRequests = 0
+    private var smallRefusals = 0
+
+    private class Grant(val atMs: Long, val units: Long)
+
+    /** Guards against a flood that begins on many hosts before they hear of each other's grants. */
+    @Property(tries = 4)
+    fun floodThatBeginsOnManyHostsStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+        assertThatSmallAccountIsServed()
+    }
+
+    /** Guards against the grants that are lost between two aggregators. */
+    @Property(tries = 4)
+    fun floodThatBeginsAsTheAggregatorIsLostStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        hosts.first { it.isAggregator() }.isIsolated = true
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+        assertThatSmallAccountIsServed()
+    }
+
+    /** Guards against isolated hosts that each spend their copy of the burst. */
+    @Property(tries = 4)
+    fun floodThatBeginsAsAQuarterIsIsolatedStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        val isolated = hosts.shuffled(network.random).take(hosts.size / 4)
+        isolated.forEach { it.isIsolated = true }
+        flood(3_000)
+        isolated.forEach { it.isIsolated = false }
+        flood(6_000)
+        assertThatGrantsAreWithinTheBound()
+    }
+
+    /** Guards against the same once the flood is known, with the aggregator among the isolated. */
+    @Property(tries = 4)
+    fun quarterWithTheAggregatorThatIsIsolatedInAFloodStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        flood(4_000)
+        val aggregator = hosts.filter { it.isAggregator() }
+        val isolated = aggregator + (hosts - aggregator.toSet()).take(hosts.size / 4 - 1)
+        isolated.forEach { it.isIsolated = true }
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+    }
+
+    /** Guards against hosts that start, each of which takes itself for the only one. */
+    @Property(tries = 4)
+    fun floodThroughARestartOfAllHostsStaysWithinItsBound(@ForAll seed: Long) {
+        start(seed, 8)
+        flood(8_000)
+        network.restartAll()
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+    }
+
+    /** Guards against hosts that start and refuse accounts for longer than one exchange. */
+    @Property(tries = 10)
+    fun smallAccountIsServedAfterARestartOfAllHosts(@ForAll seed: Long) {
+        start(seed, 8, lossShare = 0.0)
+        network.restartAll()
+        flood(EXCHANGE_AFTER_START_MS)
+        smallRefusals = 0
+        flood(3_000)
+        assertThatSmallAccountIsServed()
+    }
+
+    /** Guards against the same on many hosts. */
+    @Property(tries = 4)
+    fun floodThroughARestartOfManyHostsStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        flood(8_000)
+        network.restartAll()
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+    }
+
+    private fun startMany(seed: Long) = start(seed, hostCount = 72)
+
+    private fun start(seed: Long, hostCount: Int, lossShare: Double = 0.02) {
+        network = PeerNetwork(seed, lossShare)
+        network.startHosts(hostCount)
+        grants.clear()
+        smallRequests = 0
+        smallRefusals = 0
+        network.run(8_000)
+    }
+
+    /** An account asks for nine times its quota, another one for a fifth, on all hosts. */
+    private fun flood(durationMs: Long) {
+        val chance = FLOOD_FACTOR * PeerNetwork.QUOTA_PER_S * PeerNetwork.STEP_MS /
+            (1_000 * MEAN_UNITS * hosts.size)
+        repeat((durationMs / PeerNetwork.STEP_MS).toInt()) {
+            network.run(PeerNetwork.STEP_MS)
+            hosts.forEach { host ->
+                if (network.random.nextDouble() < chance) {
+                    val units = network.random.nextLong(MIN_UNITS, MAX_UNITS)
+                    if (host.admits(units)) grants += Grant(network.clock.nowMs(), units)
+                }
+                if (network.random.nextDouble() < chance * SMALL_SHARE / FLOOD_FACTOR) {
+                    val units = network.random.nextLong(MIN_UNITS, MAX_UNITS)
+                    smallRequests++
+                    if (!host.admits(units, account = "small")) smallRefusals++
+                }
+            }
+        }
+    }
+
+    /** The bound: the quota of a window of 8 s and a burst of 1 s, a tenth more, and the slack. */
+    private fun assertThatGrantsAreWithinTheBound() {
+        val allowed = PeerNetwork.QUOTA_PER_S * 9 * 1.1 + PeerNetwork.QUOTA_SLACK
+        val most = grants.maxOf { first ->
+            grants.filter { it.atMs in first.atMs until first.atMs + 8_000 }.sumOf { it.units }
+        }
+        assertThat(most.toDouble()).isLessThan(allowed)
+    }
+
+    private fun assertThatSmallAccountIsServed() {
+        assertThat(smallRefusals).describedAs("of $smallRequests").isZero()
+    }
+
+    private companion object {
+        const val FLOOD_FACTOR = 9.0
+        const val SMALL_SHARE = 0.2
+        const val MIN_UNITS = 500L
+        const val MAX_UNITS = 5_500L
+        const val MEAN_UNITS = 3_000.0
+
+        /** Finding the seed takes up to 100 ms, then there is an exchange each 50 ms. */
+        const val EXCHANGE_AFTER_START_MS = 200L
+    }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -43,6 +43,7 @@
     private val reports = HashMap<String, ReceivedReport>()
     private val quotaUse = HashMap<String, QuotaUse>()
     private val quotaTotals = HashMap<String, Long>()
+    private val unannounced = HashMap<String, Long>()
     private val slowdowns = HashMap<String, RecentSlowdown>()
     private var startedAtMs = 0L
 
@@ -60,9 +61,27 @@
             val delta = total - (use.reported.put(account, total) ?: 0)
             use.counted.merge(account, delta, Long::plus)
             quotaTotals.merge(account, delta, Long::plus)
+            if (delta != 0L) unannounced.merge(account, delta, Long::plus)
         }
     }
 
+    /** The units counted since the last call of [onAnnounced], by account. */
+    public fun unannounced(): Map<String, Long> = unannounced
+
+    /** Must be called when all hosts have been sent their totals of [accounts], or of all. */
+    public fun onAnnounced(accounts: Set<String>? = null) {
+        if (accounts == null) unannounced.clear() else unannounced.keys.removeAll(accounts)
+    }
+
+    /** The units that all hosts except [receiver] have consumed, by account. */
+    public fun quotaTotalsFor(receiver: String): Map<String, Long> {
+        val own = quotaUse[receiver]?.counted.orEmpty()
+        return quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
+    }
+
+    /** The number of hosts whose reports have not expired. */
+    public val hostCount: Int get() = reports.size
+
     /** How long hosts have been reporting here without interruption, in milliseconds. */
     public fun ageMs(nowMs: Long): Long = nowMs - startedAtMs
 
@@ -94,9 +113,13 @@
             .flatMap { it.report.suspects }.groupingBy { it }.eachCount()
         val minSuspecting = minOf(MIN_SUSPECTING_HOSTS, reports.size - 1)
         val suspects = counts.filterValues { it >= minSuspecting }.keys.toSet()
-        val own = quotaUse[receiver]?.counted.orEmpty()
-        val totals = quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
-        return LoadSummary(loads, totals, suspects, reports.size, demandsWithout(receiver))
+        return LoadSummary(
+            loads,
+            quotaTotalsFor(receiver),
+            suspects,
+            reports.size,
+            demandsWithout(receiver)
+        )
     }
 
     private fun demandsWithout(receiver: String): Map<String, Map<Int, Int>> {
@@ -114,6 +137,7 @@
         startedAtMs = nowMs
         quotaUse.clear()
         quotaTotals.clear()
+        unannounced.clear()
     }
 
     private class ReceivedReport(val report: LoadReport, val receivedAtMs: Long)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -4,8 +4,9 @@
  * Enforces the quotas of client accounts, each of which is shared by all hosts.
  *
  * Every host keeps a copy of each account's token bucket. It deducts its own grants at once, and
- * those of the other hosts when it receives their totals. Without updates a host refills its copy
- * only at its share of the rate, so that the sum over all hosts stays near the quota.
+ * those of the other hosts when it receives their totals. What it may spend of its copy follows
+ * from its [PeerKnowledge]: all while the grants of the others are known, and otherwise its share,
+ * so that the sum over all hosts stays near the quota.
  *
  * Units that hosts grant before they learn of each other's grants exceed the quota. The peak
  * rate of recent grants times the propagation delay is therefore withheld from the allowed slack.
@@ -15,17 +16,49 @@
     private val recentGrants = HashMap<String, SlidingWindowCounter>()
     private val buckets = HashMap<String, Bucket>()
     private val ownTotals = HashMap<String, Long>()
+    private val peerGrants = PeerGrants()
     private var totalsAtLastUpdate: Map<String, Long> = emptyMap()
     private var lastUpdateAtMs = 0L
-    private var source: String? = null
-    private val peerTotals = HashMap<String, Long>()
 
-    /** The share of each quota's rate that this host may grant; 1 with updates from all hosts. */
-    public var rateShare: Double = 1.0
+    /** When this host started, if grants before that are unknown. */
+    private var startedAtMs: Long? = null
+
+    /** What this host knows about the grants of the others. */
+    public var knowledge: PeerKnowledge = PeerKnowledge.Current()
+        private set
 
     /** The delay until this host learns of another host's grants, in milliseconds. */
     public var propagationDelayMs: Long = 0
 
+    /** Begins with empty buckets at [nowMs], as what was granted before is unknown. */
+    public fun startEmpty(nowMs: Long) {
+        startedAtMs = nowMs
+    }
+
+    /** Changes what this host may spend, from [nowMs] on. */
+    public fun updateKnowledge(changed: PeerKnowledge, nowMs: Long) {
+        if (changed == knowledge) return
+        buckets.values.forEach { it.refill(nowMs, knowledge.rateShare) }
+        if (changed is PeerKnowledge.Unknown &&
+            knowledge is PeerKnowledge.Current
+        ) {
+            keepShare(changed)
+        }
+        knowledge = changed
+    }
+
+    /**
+     * Leaves of each bucket this host's share. What the others have granted since the last update
+     * is estimated by what this host has: a flood reaches all of them.
+     */
+    private fun keepShare(unknown: PeerKnowledge.Unknown) {
+        buckets.filterValues { it.level > 0 }.forEach { (account, bucket) ->
+            val own = (ownTotals[account] ?: 0) - (totalsAtLastUpdate[account] ?: 0)
+            val left = bucket.level - own.coerceAtLeast(0) * (unknown.hostCount - 1)
+            bucket.level = left.coerceAtLeast(0.0) * unknown.rateShare
+        }
+    }
+
     /**
      * Consumes [units] of the quota of [account] and returns `null`, or returns the time in
      * milliseconds after which that many may be available.
@@ -48,17 +81,20 @@
         val slackPerSecond = (slack - unreported).coerceAtLeast(0.0) / SlidingWindowCounter.WINDOW_S
         val perSecond = quotaPerSecond + slackPerSecond
         val bucket = buckets.getOrPut(account) {
-            // Starts with half of the burst, as other hosts may have granted the rest, or with
-            // what the known grants leave if that is less.
-            val unspent =
-                burst + quotaPerSecond * SlidingWindowCounter.WINDOW_S - granted.sum(nowMs)
-            Bucket(perSecond, burst, nowMs, minOf(unspent, burst * INITIAL_BURST_SHARE))
+            Bucket(perSecond, burst, nowMs, initialLevel(granted, quotaPerSecond, burst, nowMs))
         }
         bucket.resize(perSecond, burst)
-        bucket.refill(nowMs, rateShare)
-        val needed = minOf(units.toDouble(), burst)
+        bucket.refill(nowMs, knowledge.rateShare)
+        val needed = when (knowledge) {
+            is PeerKnowledge.Current -> minOf(units.toDouble(), burst)
+
+            // A share is less than most requests; one of them may overdraw it.
+            is PeerKnowledge.Unknown ->
+                minOf(units.toDouble(), burst * knowledge.rateShare * MIN_SHARE_LEFT)
+        }
         if (bucket.level < needed) {
-            return ((needed - bucket.level) / (perSecond * rateShare) * MS_PER_S).toLong() + 1
+            val unitsPerMs = perSecond * knowledge.rateShare / MS_PER_S
+            return ((needed - bucket.level) / unitsPerMs).toLong() + 1
         }
         bucket.level -= units
         granted.add(units, nowMs)
@@ -79,9 +115,15 @@
     /** The [ownTotals] at the last update from the other hosts, by account. */
     public fun ownTotalsAtLastUpdate(): Map<String, Long> = totalsAtLastUpdate
 
+    /** The units above which grants of [account] are announced early, or `null` if unknown. */
+    public fun announcedUnits(account: String): Double? =
+        buckets[account]?.let { (it.burst + it.perSecond) * ANNOUNCED_SHARE }
+
     /**
-     * Deducts what the other hosts have consumed since the previous update, given their [totals]
-     * by account as counted by [from], which started counting [sourceAgeMs] milliseconds ago.
+     * Deducts what the other hosts have granted since the previous update, given their [totals] by
+     * account as counted by [from], which started counting [sourceAgeMs] milliseconds ago. The
+     * accounts left out are unchanged. Totals of the primary aggregator ([isPrimary]) replace what
+     * others have reported since its previous ones.
      *
      * The first totals of a source are deducted if it started after the last update from another
      * source; otherwise they only set the baseline.
@@ -90,25 +132,38 @@
         from: String,
         totals: Map<String, Long>,
         nowMs: Long,
-        sourceAgeMs: Long = Long.MAX_VALUE
+        sourceAgeMs: Long = Long.MAX_VALUE,
+        isPrimary: Boolean = true
     ) {
-        val isNewSource = from != source
-        val hasStartedSince = sourceAgeMs <= nowMs - lastUpdateAtMs + propagationDelayMs
+        val hasJustStarted = sourceAgeMs <= nowMs - lastUpdateAtMs + propagationDelayMs
         lastUpdateAtMs = nowMs
         totalsAtLastUpdate = HashMap(ownTotals)
-        if (isNewSource) {
-            source = from
-            peerTotals.clear()
-            if (!hasStartedSince) {
-                peerTotals.putAll(totals)
-                return
+        peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs, hasJustStarted)
+            .filterValues { it != 0L }
+            .forEach { (account, units) ->
+                recentGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
+                buckets[account]?.consumeForPeers(units, nowMs, knowledge.rateShare)
             }
+    }
+
+    /** The level of a bucket that is used for the first time, given all known grants. */
+    private fun initialLevel(
+        granted: SlidingWindowCounter,
+        perSecond: Double,
+        burst: Double,
+        nowMs: Long
+    ): Double {
+        val started = startedAtMs
+        val level = if (started != null) {
+            granted.bucketLevel(perSecond, burst, startMs = started, nowMs)
+        } else {
+            // Starts with half of the burst, as other hosts may have granted the rest, or with
+            // what the known grants leave if that is less.
+            val unspent = burst + perSecond * SlidingWindowCounter.WINDOW_S - granted.sum(nowMs)
+            minOf(unspent, burst * INITIAL_BURST_SHARE)
         }
-        totals.forEach { (account, total) ->
-            val delta = total - (peerTotals.put(account, total) ?: 0)
-            recentGrants.getOrPut(account) { SlidingWindowCounter() }.add(delta, nowMs)
-            buckets[account]?.consumeForPeers(delta, nowMs, rateShare)
-        }
+        val isUnknown = knowledge is PeerKnowledge.Unknown
+        return if (isUnknown && level > 0) level * knowledge.rateShare else level
     }
 
     private class Bucket(
@@ -141,6 +196,12 @@
     private companion object {
         const val INITIAL_BURST_SHARE = 0.5
 
+        /** The part of a full share that must be left for a request that overdraws it. */
+        const val MIN_SHARE_LEFT = 0.5
+
+        /** A tenth of what a flood may take at once; such grants are rare below the quota. */
+        const val ANNOUNCED_SHARE = 0.1
+
         /** Half of the quota window, as older grants soon fall out of it. */
         const val MAX_DEBT_S = 4
         const val MS_PER_S = 1_000.0
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
@@ -23,6 +23,24 @@
         return units.sum()
     }
 
+    /**
+     * The level of a token bucket of [perSecond] units per second and at most [burst] units from
+     * which all units were taken; it was empty at [startMs].
+     */
+    fun bucketLevel(perSecond: Double, burst: Double, startMs: Long, nowMs: Long): Double {
+        advanceTo(nowMs / BUCKET_MS)
+        var level = 0.0
+        var atMs = startMs
+        for (bucket in maxOf(0, newestBucket - BUCKETS + 1)..newestBucket) {
+            val endMs = minOf(nowMs, (bucket + 1) * BUCKET_MS)
+            if (endMs < atMs) continue
+            level = minOf(burst, level + (endMs - atMs) * perSecond / MS_PER_S)
+            level -= units[(bucket % BUCKETS).toInt()]
+            atMs = endMs
+        }
+        return level
+    }
+
     private fun advanceTo(bucket: Long) {
         val elapsed = (bucket - newestBucket).coerceIn(0, BUCKETS.toLong())
         for (index in 1..elapsed) units[((bucket - elapsed + index) % BUCKETS).toInt()] = 0
