Bind the peers' socket before the first probe is sent

The socket is bound first, and sends nothing before.

PeerSocketTest.messageBeforeTheStartDoesNotKeepTheSocketFromStarting fails without the change (AlreadyBoundException) and passes with it.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -174,6 +174,7 @@
      */
     public suspend fun start() {
         control.start()
+        peers.start()
         board.subscribe(BlackboardKeys.targets) { updateTargets() }
         board.subscribe(BlackboardKeys.manifest) {
             updateTargets()
@@ -205,7 +206,6 @@
                 isWarmedUp = true
             }
         }
-        peers.start()
         readinessAcceptor.start(scope)
         operatorAcceptor.start(scope)
         callerAcceptor.start(scope)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -25,13 +25,24 @@
 ) : AutoCloseable {
     private val channel = DatagramChannel.open()
 
+    @Volatile
+    private var isBound = false
+
+    /**
+     * Starts receiving.
+     *
+     * @throws IOException if the address cannot be bound.
+     */
     fun start() {
         channel.bind(InetSocketAddress(address.host, address.port))
+        isBound = true
         thread(name = "peers", isDaemon = true) { receiveAll() }
     }
 
-    /** Sends [message] to [to]; it may be lost. */
+    /** Sends [message] to [to]; it may be lost, and is before [start]. */
     fun send(to: SocketAddress, message: PeerMessage) {
+        // Sending would bind the channel to any free port.
+        if (!isBound) return
         val bytes = PeerMessage.codec.encodeToByteArray(message)
         try {
             channel.send(ByteBuffer.wrap(bytes), InetSocketAddress(to.host, to.port))
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerSocketTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerSocketTest.kt
@@ -36,6 +36,20 @@
         }
     }
 
+    /** Guards against a process that ends at its start, when it probes a seed at once. */
+    @Example
+    fun messageBeforeTheStartDoesNotKeepTheSocketFromStarting() {
+        val address = SocketAddress("127.0.0.1", EdgeTestEnvironment.freePort())
+        val received = LinkedBlockingQueue<PeerMessage>()
+        val message = PeerMessage.Report("h", emptyList(), emptyList())
+        PeerSocket(address, DecisionLog(MonotonicClock.System)) { it, _ -> received += it }.use {
+            it.send(address, message)
+            it.start()
+            it.send(address, message)
+            assertThat(received.poll(3, TimeUnit.SECONDS)).isEqualTo(message)
+        }
+    }
+
     private fun sendRaw(address: SocketAddress, bytes: ByteArray) = DatagramSocket().use {
         it.send(
             DatagramPacket(bytes, bytes.size, InetAddress.getByName(address.host), address.port)
