Reject a message whose head ends with the connection

Callers got a 404 with an empty body, framed as whole, where a target had stopped within the head of its response and closed: the parser takes the end of the input for the end of the head, and drops its fields. Any status but a success took this way; a success failed for want of a signature. Requests of callers that stop within their head were taken for whole as well.

TcpSocket knows the last bytes received, so a head that was parsed up to the end of the input must end with an empty line.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/MalformedResponseTest.kt
@@ -19,6 +19,9 @@
     @Volatile
     private var response = ByteArray(0)
 
+    @Volatile
+    private var closesAfterResponse = false
+
     @AfterTry
     fun close() {
         server.close()
@@ -47,6 +50,35 @@
         }
     }
 
+    /** Guards against callers that get the beginning of a head as a whole response. */
+    @Example
+    fun responseThatStopsWithinItsHeadIsNotRelayed() {
+        closesAfterResponse = true
+        startMalformedTarget("t1")
+        startNode()
+        listOf("404 Not Found", "200 OK", "421 Misdirected", "503 Busy").forEach { status ->
+            val head = "HTTP/1.1 $status\r\nResponse-Signature: abc\r\nNot-Executed: 1\r\n"
+            for (length in "HTTP/1.1 200".length..head.length) {
+                response = head.take(length).encodeToByteArray()
+                val answer = environment.ask("/unsafe/").status
+                assertThat(answer).describedAs(head.take(length)).isEqualTo(502)
+            }
+        }
+    }
+
+    /** Guards against the same for requests that may be sent again. */
+    @Example
+    fun idempotentRequestIsSentAgainAfterAResponseThatStopsWithinItsHead() {
+        closesAfterResponse = true
+        startMalformedTarget("t1")
+        environment.startSoundTarget("t2")
+        startNode()
+        listOf("HTTP/1.1 404 Not Found\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\r").forEach { head ->
+            response = head.encodeToByteArray()
+            repeat(5) { assertThat(environment.ask("/safe/").status).isEqualTo(200) }
+        }
+    }
+
     /** Sends [response] to each request. */
     private fun startMalformedTarget(id: String) {
         thread(isDaemon = true) {
@@ -58,6 +90,7 @@
                             val buffer = ByteArray(4_096)
                             while (socket.getInputStream().read(buffer) > 0) {
                                 socket.getOutputStream().write(response)
+                                if (closesAfterResponse) socket.close()
                             }
                         }
                     }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -48,6 +48,7 @@
     /**
      * Reads the head of the next request; returns `null` if the caller has closed the connection.
      *
+     * @throws java.io.EOFException if the caller closes within the head.
      * @throws MalformedMessageException if the input is not a valid request.
      * @throws HeadTooLargeException if the head or a line of it is too long.
      */
@@ -60,6 +61,7 @@
             throw HeadTooLargeException()
         }
         return request.use {
+            socket.requireCompleteHead()
             val headers = HeaderList.of(request.headers)
             if (headers.any { it.name.isEmpty() || it.name.any { c -> c <= ' ' } }) {
                 throw MalformedMessageException("invalid header name")
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -83,6 +83,7 @@
         while (true) {
             val parsed = parseResponse(input) ?: throw EOFException("closed before a response")
             val response = parsed.use {
+                socket.requireCompleteHead()
                 val headers = HeaderList.of(parsed.headers)
                 val hasBody = parsed.status !in statusesWithoutBody && parsed.status >= FINAL_STATUS
                 val framing = if (hasBody) {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -3,6 +3,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.InternalAPI
+import java.io.EOFException
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
@@ -46,6 +47,18 @@
         }
     }
 
+    /**
+     * Checks that the head of a message that was just parsed is complete: the parser takes the end
+     * of the input for the end of the head.
+     *
+     * @throws EOFException if the peer closed the connection within the head.
+     */
+    internal fun requireCompleteHead() {
+        if (reader.isClosedForRead && !reader.endsWithBlankLine) {
+            throw EOFException("connection closed within the head of a message")
+        }
+    }
+
     /** The bytes for the peer; buffered until they are flushed. */
     public val output: ByteWriteChannel = Writer()
 
@@ -78,6 +91,13 @@
         private var hasEnded = false
         private var mayHaveMoreInput = false
 
+        /** The last four bytes received, the latest in the lowest bits. */
+        private var lastBytes = 0
+
+        /** Whether the bytes received so far end with an empty line. */
+        val endsWithBlankLine: Boolean
+            get() = lastBytes and 0xFFFF == LF_LF || lastBytes and 0xFFFFFF == LF_CR_LF
+
         /** How many more bytes may be received. */
         var remainingBytes = Long.MAX_VALUE
 
@@ -122,6 +142,9 @@
                 closedCause = cause
                 throw cause
             }
+            for (index in maxOf(0, count - Int.SIZE_BYTES) until count) {
+                lastBytes = (lastBytes shl Byte.SIZE_BITS) or (scratch[index].toInt() and 0xFF)
+            }
             if (count > 0) buffer.transferFrom(scratch.flip())
             if (count < 0) hasEnded = true
             return count
@@ -168,6 +191,9 @@
         /** Well above the heads that manifests allow; a body may follow in the same read. */
         const val MAX_HEAD_BYTES = 131_072
 
+        private const val LF_LF = 0x0A0A
+        private const val LF_CR_LF = 0x0A0D0A
+
         /** Larger than most messages and events, so that these take one read. */
         private const val SCRATCH_BYTES = 16_384
         private val threadScratch: ThreadLocal<ByteBuffer> =
