Answer the requests that a planned stop would cut off

Callers' connections were closed without an answer at the end of the grace time: requests taken before the stop closed connections that last longer, those that waited unsent, those whose body ended later, and repeats begun shortly before the end.

ProcessEnd ends all attempts 0.2 s before the exit; each request then gets a true answer, 503 if it has not run and 502 otherwise. A request whose body ends after connections were closed is refused and not sent.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -21,6 +21,7 @@
 import org.bronzetide.edge.entry.ControlServer
 import org.bronzetide.edge.entry.InFlightRequests
 import org.bronzetide.edge.entry.QuotaLimiterAdapter
+import org.bronzetide.edge.forwarding.ProcessEnd
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
@@ -111,6 +112,7 @@
     @Volatile
     private var status = statusPage()
     private val departures = Departures(log) { control.post(::updateTargets) }
+    private val processEnd = ProcessEnd()
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler),
         TargetClient(pool, clock, departures),
@@ -118,7 +120,8 @@
         retryBudget,
         { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
         log,
-        metrics
+        metrics,
+        processEnd
     )
     private val sessionDependencies = CallerSession.Dependencies(
         clock,
@@ -218,8 +221,8 @@
 
     /**
      * Drains the process: reports that it is not ready, keeps serving until the balancer has
-     * noticed, closes idle connections, and waits for the requests in progress, all within the
-     * grace time of the settings.
+     * noticed, closes idle connections, and waits for the requests in progress. Those that last
+     * too long get an answer shortly before the end of the grace time of the settings.
      */
     public suspend fun drain() {
         inFlightRequests.isDraining = true
@@ -228,12 +231,17 @@
         delay(BALANCER_DELAY_MS)
         inFlightRequests.closeIdleConnections()
         val drainTimeoutMs = settings.bounds.stopGraceMs - BALANCER_DELAY_MS - EXIT_MARGIN_MS
-        withTimeoutOrNull(drainTimeoutMs) {
-            while (inFlightRequests.count > 0) delay(DRAIN_POLL_MS)
-        }
+        awaitRequests(drainTimeoutMs - ANSWER_MARGIN_MS)
+        log.stateChange("ending requests", "requests" to inFlightRequests.count)
+        processEnd.end()
+        awaitRequests(ANSWER_MARGIN_MS)
         log.stateChange("stopped", "requestsCutOff" to inFlightRequests.count)
     }
 
+    private suspend fun awaitRequests(timeoutMs: Long) = withTimeoutOrNull(timeoutMs) {
+        while (inFlightRequests.count > 0) delay(DRAIN_POLL_MS)
+    }
+
     /**
      * Applies the seeds of [changed]. Addresses and bounds can't change while the process runs, so
      * other settings are ignored.
@@ -351,6 +359,9 @@
         /** The balancer polls once a second and removes a host after two failed polls. */
         const val BALANCER_DELAY_MS = 3_000L
         const val EXIT_MARGIN_MS = 300L
+
+        /** Enough to answer all requests in progress. */
+        const val ANSWER_MARGIN_MS = 200L
         const val DRAIN_POLL_MS = 20L
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -116,8 +116,7 @@
         if (request.headers["Expect"] != null) connection.sendContinue()
         val bodyTimeoutMs = RequestMetadata.of(request.headers).timeoutMs ?: limits.idleTimeoutMs
         if (dependencies.inFlightRequests.isClosed) {
-            val refusal = Admission.Refused(UNAVAILABLE, "stopping", STOP_RETRY_AFTER_MS)
-            refuseWithBody(request, refusal, limits, bodyTimeoutMs, arrivedAtMs)
+            refuseWithBody(request, stopping, limits, bodyTimeoutMs, arrivedAtMs)
             return false
         }
         val maxWaitMs = minOf(MAX_BODY_WAIT_MS, bodyTimeoutMs / BODY_WAIT_DIVISOR)
@@ -139,7 +138,13 @@
             refuseWithBody(request, refusal, limits, bodyTimeoutMs, arrivedAtMs)
             return false
         }
-        return body.use { serve(request, it.bytes, arrivedAtMs) }
+        return body.use {
+            if (dependencies.inFlightRequests.isClosed) {
+                refuse(request, stopping, arrivedAtMs, mayKeepAlive = false)
+            } else {
+                serve(request, it.bytes, arrivedAtMs)
+            }
+        }
     }
 
     private suspend fun serve(
@@ -263,6 +268,7 @@
 
         /** Another host serves the caller at once. */
         const val STOP_RETRY_AFTER_MS = 20L
+        val stopping = Admission.Refused(UNAVAILABLE, "stopping", STOP_RETRY_AFTER_MS)
 
         /** A large body takes about half a second to arrive; refused callers are spread. */
         const val BODY_RETRY_AFTER_MS = 500L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -41,7 +41,8 @@
     private val retryBudget: WindowedRetryBudget,
     private val findTarget: (String) -> TargetEntry?,
     private val log: DecisionLog,
-    private val metrics: EdgeMetrics
+    private val metrics: EdgeMetrics,
+    private val processEnd: ProcessEnd = ProcessEnd()
 ) {
     /**
      * Forwards [call] and writes the response to [caller]. The session cancels this when the caller
@@ -53,7 +54,9 @@
         val state = State(call, caller)
         val remainingMs = call.deadlineAtMs - clock.nowMs()
         try {
-            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { runAttempts(state) }
+            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) {
+                processEnd.runUntilEnd { runAttempts(state) }
+            }
         } finally {
             state.takeReplacement()?.let(::drop)
         }
@@ -397,7 +400,7 @@
             }
             return ForwardingResult(
                 OK,
-                "stream broke off: ${last ?: "no time left"}",
+                "stream broke off: ${last ?: unansweredReason()}",
                 isConnectionReusable = false,
                 hasNotRun = false,
                 state.relay
@@ -418,7 +421,7 @@
 
     private suspend fun refuse(state: State): ForwardingResult {
         val retryAfterMs = state.refusal?.retryAfterMs ?: DEFAULT_RETRY_AFTER_MS
-        val reason = state.refusal?.reason ?: state.lastResult?.toString() ?: "no time left"
+        val reason = state.refusal?.reason ?: state.lastResult?.toString() ?: unansweredReason()
         state.caller.send(
             UNAVAILABLE,
             refusalHeaders(state.call.requestId, retryAfterMs),
@@ -433,10 +436,12 @@
         val headers =
             listOfNotNull(state.call.requestId?.let { Header(PlatformHeaders.REQUEST_ID, it) })
         state.caller.send(status, headers, ByteArray(0))
-        val reason = state.lastResult?.toString() ?: "no answer in time"
+        val reason = state.lastResult?.toString() ?: unansweredReason()
         return ForwardingResult(status, reason, isConnectionReusable = true, hasNotRun = false)
     }
 
+    private fun unansweredReason() = if (processEnd.isReached) "stopping" else "no time left"
+
     internal companion object {
         private val ticketSequences = java.util.concurrent.atomic.AtomicLong()
         private const val OK = 200
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerSocketTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerSocketTest.kt
@@ -42,7 +42,7 @@
         val address = SocketAddress("127.0.0.1", EdgeTestEnvironment.freePort())
         val received = LinkedBlockingQueue<PeerMessage>()
         val message = PeerMessage.Report("h", emptyList(), emptyList())
-        PeerSocket(address, DecisionLog(MonotonicClock.System)) { it, _ -> received += it }.use {
+        PeerSocket(address, DecisionLog(MonotonicClock.System)) { got, _ -> received += got }.use {
             it.send(address, message)
             it.start()
             it.send(address, message)
