Bound the memory of the responses in progress

One response was bounded, their sum was not: 120 responses without an end exhausted a process of 64 MB of heap, and with it the requests of others (OutOfMemoryError). ResponseMemory gives bodies that are not streamed a budget in which larger ones wait, and unfinished events another one. Bodies of unknown length are charged as they grow, comments before an event are held up to 4 KiB, and what is only skipped is not held.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -15,7 +15,6 @@
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.entry.AdmissionController
-import org.bronzetide.edge.entry.BodyBudget
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.ConnectionAcceptor
 import org.bronzetide.edge.entry.ControlServer
@@ -25,6 +24,8 @@
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
+import org.bronzetide.edge.memory.BodyBudget
+import org.bronzetide.edge.memory.ResponseMemory
 import org.bronzetide.edge.peer.PeerCoordinator
 import org.bronzetide.edge.peer.PeerSocket
 import org.bronzetide.edge.peer.PeerStateClient
@@ -81,6 +82,7 @@
         TargetRegistry(board, control, clock, log, settings.bounds.stabilizationMs)
     private val inFlightRequests = InFlightRequests()
     private val bodies = BodyBudget.ofHeap()
+    private val responseMemory = ResponseMemory.ofHeap()
     private val quotaLimiter = QuotaLimiter()
     private val peerClient = PeerStateClient(pool, settings.controlAddress.port)
     private val peers = PeerSocket(
@@ -115,7 +117,7 @@
     private val processEnd = ProcessEnd()
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler),
-        TargetClient(pool, clock, departures),
+        TargetClient(pool, clock, departures, responseMemory),
         clock,
         retryBudget,
         { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
@@ -191,14 +193,7 @@
                 status = statusPage()
             }
         }
-        metrics.gauge("bronzetide.edge.requests.inside") { inFlightRequests.count }
-        metrics.gauge("bronzetide.edge.manifest.version") { manifest()?.version ?: 0 }
-        metrics.gauge("bronzetide.edge.prompt.parts.blocked") {
-            scheduler.poisonParts.blocked.size
-        }
-        metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
-        metrics.gauge("bronzetide.edge.targets.departed") { departures.count }
-        metrics.gauge("bronzetide.edge.bodies.held.bytes") { bodies.heldBytes }
+        registerGauges()
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
         scope.launch { bootstrapFromPeers() }
@@ -219,6 +214,20 @@
         )
     }
 
+    private fun registerGauges() {
+        metrics.gauge("bronzetide.edge.requests.inside") { inFlightRequests.count }
+        metrics.gauge("bronzetide.edge.manifest.version") { manifest()?.version ?: 0 }
+        metrics.gauge("bronzetide.edge.prompt.parts.blocked") {
+            scheduler.poisonParts.blocked.size
+        }
+        metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
+        metrics.gauge("bronzetide.edge.targets.departed") { departures.count }
+        metrics.gauge("bronzetide.edge.bodies.held.bytes") { bodies.heldBytes }
+        metrics.gauge("bronzetide.edge.responses.held.bytes") {
+            responseMemory.bodies.heldBytes + responseMemory.events.heldBytes
+        }
+    }
+
     /**
      * Drains the process: reports that it is not ready, keeps serving until the balancer has
      * noticed, closes idle connections, and waits for the requests in progress. Those that last
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -10,12 +10,12 @@
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.entry.AdmissionController
-import org.bronzetide.edge.entry.BodyBudget
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.InFlightRequests
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
+import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.state.Departures
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -16,6 +16,7 @@
 import org.bronzetide.edge.forwarding.Call
 import org.bronzetide.edge.forwarding.ForwardingResult
 import org.bronzetide.edge.forwarding.RequestForwarder
+import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.BodyTooLargeException
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/EventSplitter.kt
@@ -1,13 +1,17 @@
 package org.bronzetide.edge.forwarding
 
 import java.io.IOException
+import org.bronzetide.edge.memory.ByteCredits
 
 /**
  * Splits the bytes of a server-sent event stream into complete events with their blank lines.
  *
- * The work for each chunk is proportional to its length, however long the unfinished event is.
+ * The work for each chunk is proportional to its length, however long the unfinished event is. The
+ * buffer of a long unfinished event is charged to [memory] until it is closed, as many targets may
+ * send events without an end at once.
  */
-internal class EventSplitter {
+internal class EventSplitter(private val memory: ByteCredits) : AutoCloseable {
+    private var grant: ByteCredits.Grant? = null
     private var buffer = ByteArray(INITIAL_CAPACITY)
     private var size = 0
 
@@ -20,7 +24,8 @@
     /**
      * Adds [bytes] and returns the events that are complete now, in order.
      *
-     * @throws IOException if an event has more than [MAX_EVENT_BYTES] bytes.
+     * @throws IOException if an event has more than [MAX_EVENT_BYTES] bytes, or there is no memory
+     * for it.
      */
     fun feed(bytes: ByteArray): List<Event> {
         var index = maxOf(0, size - MAX_PARTIAL_TERMINATOR_BYTES)
@@ -44,15 +49,33 @@
 
     private fun append(bytes: ByteArray) {
         val needed = size + bytes.size
-        if (needed > buffer.size) buffer = buffer.copyOf(maxOf(needed, 2 * buffer.size))
+        if (needed > buffer.size) resize(maxOf(needed, 2 * buffer.size))
         bytes.copyInto(buffer, size)
         size = needed
     }
 
+    private fun resize(capacity: Int) {
+        val larger = if (capacity > UNCHARGED_BYTES) {
+            memory.tryAcquire(capacity.toLong())
+                ?: throw IOException("no memory for an event of more than $size bytes")
+        } else {
+            null
+        }
+        buffer = buffer.copyOf(capacity)
+        grant?.close()
+        grant = larger
+    }
+
+    override fun close() {
+        grant?.close()
+        grant = null
+    }
+
     private fun dropFirst(count: Int) {
         if (count == 0) return
         buffer.copyInto(buffer, 0, count, size)
         size -= count
+        if (buffer.size > UNCHARGED_BYTES && size < INITIAL_CAPACITY) resize(INITIAL_CAPACITY)
     }
 
     /** Returns the index after the blank line that begins at [index], or 0 if none does. */
@@ -82,6 +105,9 @@
 
     private companion object {
         const val INITIAL_CAPACITY = 4_096
+
+        /** The capacity that every stream may have; most events are far smaller. */
+        const val UNCHARGED_BYTES = 16_384
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -54,13 +54,17 @@
         val state = State(call, caller)
         val remainingMs = call.deadlineAtMs - clock.nowMs()
         try {
-            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) {
-                processEnd.runUntilEnd { runAttempts(state) }
+            try {
+                withTimeoutOrNull(remainingMs.coerceAtLeast(1)) {
+                    processEnd.runUntilEnd { runAttempts(state) }
+                }
+            } finally {
+                state.takeReplacement()?.let(::drop)
             }
+            return finish(state)
         } finally {
-            state.takeReplacement()?.let(::drop)
+            state.bodies.forEach { it.close() }
         }
-        return finish(state)
     }
 
     private inner class State(val call: Call, val caller: CallerConnection) {
@@ -68,6 +72,7 @@
         val relay = StreamRelay(
             caller,
             clock,
+            client.memory.events,
             onFirstEvent = {
                 scheduler.onFirstEvent(ticketSequence)
                 metrics.onFirstEvent(call.priority, clock.nowMs() - call.arrivedAtMs)
@@ -81,6 +86,9 @@
         var lastResult: SendResult? = null
         var isInFlight = false
 
+        /** The bodies of responses, which are held until the caller has been answered. */
+        val bodies = ArrayList<AutoCloseable>()
+
         /** The target of the current send. */
         var currentTargetId: String? = null
 
@@ -184,7 +192,7 @@
                 is TargetClient.Beginning.Ended -> beginning.attempt
 
                 is TargetClient.Beginning.Responding ->
-                    client.complete(state.call, beginning, state.relay, policy)
+                    client.complete(state.call, beginning, state.relay, policy, state.bodies)
             }
         }
     }
@@ -194,7 +202,8 @@
         state: State,
         beginning: TargetClient.Beginning.Responding
     ): SendResult = awaitAttempt(state, beginning.target.id) {
-        client.complete(state.call, beginning, state.relay, stallPolicy(state, 0))
+        val policy = stallPolicy(state, 0)
+        client.complete(state.call, beginning, state.relay, policy, state.bodies)
     }
 
     private suspend fun begin(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -2,6 +2,7 @@
 
 import java.io.IOException
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.memory.ByteCredits
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.Framing
 import org.bronzetide.http.IncomingResponse
@@ -14,6 +15,8 @@
 internal class StreamRelay(
     private val caller: CallerConnection,
     private val clock: MonotonicClock,
+    /** Holds the unfinished events of all streams. */
+    private val eventMemory: ByteCredits,
     private val onFirstEvent: () -> Unit,
     /** Called at most once in each run with the average milliseconds between its first events. */
     private val onEventInterval: (Double) -> Unit
@@ -47,8 +50,14 @@
      * ends within an event, or before one: only with its connection, or although it is resumed.
      * @throws TargetStalledException if [stallPolicy] abandons the target.
      */
-    suspend fun relayResponse(response: IncomingResponse, stallPolicy: StallPolicy): Double {
-        val splitter = EventSplitter()
+    suspend fun relayResponse(response: IncomingResponse, stallPolicy: StallPolicy): Double =
+        EventSplitter(eventMemory).use { relayResponse(response, stallPolicy, it) }
+
+    private suspend fun relayResponse(
+        response: IncomingResponse,
+        stallPolicy: StallPolicy,
+        splitter: EventSplitter
+    ): Double {
         val isResumed = isStarted
         var firstAtMs = 0L
         var lastAtMs = 0L
@@ -93,7 +102,8 @@
         while (events.none { it.hasContent }) {
             val chunk = response.body.readAvailable() ?: return events.ifEmpty { null }
             events += splitter.feed(chunk).filterNot(::isDuplicate)
-            if (events.size > MAX_HELD_EVENTS) events.removeAll { !it.hasContent }
+            val heldBytes = events.sumOf { it.bytes.size }
+            if (heldBytes > MAX_HELD_BYTES) events.removeAll { !it.hasContent }
         }
         return events
     }
@@ -136,7 +146,7 @@
 
     private companion object {
         /** Comments before the next event; more are dropped. */
-        const val MAX_HELD_EVENTS = 100
+        const val MAX_HELD_BYTES = 4_096
 
         /** The fewest event intervals whose average is reported. */
         const val MIN_INTERVALS = 4
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.net.ConnectException
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.memory.ResponseMemory
 import org.bronzetide.edge.state.Departures
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Framing
@@ -30,7 +31,9 @@
 internal class TargetClient(
     private val pool: ConnectionPool,
     private val clock: MonotonicClock,
-    private val departures: Departures
+    private val departures: Departures,
+    /** The memory of the responses in progress. */
+    val memory: ResponseMemory = ResponseMemory.ofHeap()
 ) {
     /**
      * The result of one send, with the outcome and the average milliseconds between events for the
@@ -114,17 +117,21 @@
         }
     }
 
-    /** Reads the rest of the response that [beginning] has begun, and relays it if it streams. */
+    /**
+     * Reads the rest of the response that [beginning] has begun, and relays it if it streams. The
+     * memory of a body that is not streamed is added to [bodies], to be closed by the caller.
+     */
     suspend fun complete(
         call: Call,
         beginning: Beginning.Responding,
         relay: StreamRelay,
-        stallPolicy: StallPolicy
+        stallPolicy: StallPolicy,
+        bodies: MutableList<AutoCloseable>
     ): Attempt {
         val (target, response) = beginning.target to beginning.response
         var isReleased = false
         try {
-            val attempt = read(call, response, relay, stallPolicy)
+            val attempt = read(call, response, relay, stallPolicy, bodies)
             if (response.framing == Framing.UntilClose && hasCrashed(target)) {
                 throw IOException("target ended with its response")
             }
@@ -215,7 +222,7 @@
     }
 
     private suspend fun readRefusal(response: IncomingResponse): Attempt {
-        response.body.readAll(MAX_RESPONSE_BYTES)
+        if (!response.body.skip(MAX_RESPONSE_BYTES)) throw IOException("endless refusal")
         val outcome =
             if (response.status == MISDIRECTED) FleetOutcome.GONE else FleetOutcome.REFUSED
         val reason = "target refused, ${response.status}"
@@ -235,18 +242,26 @@
         call: Call,
         response: IncomingResponse,
         relay: StreamRelay,
-        stallPolicy: StallPolicy
+        stallPolicy: StallPolicy,
+        bodies: MutableList<AutoCloseable>
     ): Attempt {
         if (call.route.kind is RouteKind.Streaming && response.isSuccess) {
             if (!response.isSigned) throw IOException("stream without signature")
             val msPerEvent = relay.relayResponse(response, stallPolicy)
             return Attempt(SendResult.Streamed, FleetOutcome.ANSWERED, msPerEvent)
         }
-        return readUnstreamed(response)
+        return readUnstreamed(call, response, bodies)
     }
 
-    private suspend fun readUnstreamed(response: IncomingResponse): Attempt {
-        val body = response.body.readAll(MAX_RESPONSE_BYTES)
+    private suspend fun readUnstreamed(
+        call: Call,
+        response: IncomingResponse,
+        bodies: MutableList<AutoCloseable>
+    ): Attempt {
+        val maxWaitMs = call.deadlineAtMs - clock.nowMs()
+        val body = memory.bodies.read(response.body, MAX_RESPONSE_BYTES, maxWaitMs)
+            ?: throw IOException("no memory for the response")
+        bodies += body
         if (response.isSuccess && !response.isSigned) {
             throw IOException("success without signature")
         }
@@ -254,7 +269,7 @@
         if (response.status in notRunStatuses) throw IOException("refusal without promise")
         val isServerError = response.status >= MIN_SERVER_ERROR
         return Attempt(
-            SendResult.Answer(response.status, response.headers.endToEnd(), body),
+            SendResult.Answer(response.status, response.headers.endToEnd(), body.bytes),
             if (isServerError) FleetOutcome.ERROR else FleetOutcome.ANSWERED
         )
     }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/LargeBodiesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/LargeBodiesTest.kt
@@ -7,6 +7,7 @@
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
 import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.standin.SessionServer
 import org.bronzetide.platform.fleet.CallerLimits
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/EventSplitterProperties.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/EventSplitterProperties.kt
@@ -5,6 +5,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.memory.ByteCredits
 
 /** Guards against events that are split, merged or lost when a chunk ends within an event. */
 class EventSplitterProperties {
@@ -12,7 +13,7 @@
     fun eventsDoNotDependOnChunkBoundaries(@ForAll seed: Long, @ForAll usesCrLf: Boolean) {
         val end = if (usesCrLf) "\r\n" else "\n"
         val wire = (1..6).joinToString("") { "id: $it${end}data: text $it$end$end" } + "id: 7"
-        val splitter = EventSplitter()
+        val splitter = EventSplitter(ByteCredits(1_000_000))
         val events = ArrayList<EventSplitter.Event>()
         var remaining = wire.encodeToByteArray()
         val random = Random(seed)
@@ -29,7 +30,7 @@
     /** Guards against an event without an end that stops the thread of all connections. */
     @Example
     fun longEventThatArrivesByteByByteTakesLittleTime() {
-        val splitter = EventSplitter()
+        val splitter = EventSplitter(ByteCredits(1_000_000))
         val byte = byteArrayOf('x'.code.toByte())
         val startNs = System.nanoTime()
         repeat(262_144) { splitter.feed(byte) }
@@ -38,7 +39,9 @@
 
     @Example
     fun eventWithoutIdFieldHasNullId() {
-        val event = EventSplitter().feed("data: x\n\n".encodeToByteArray()).single()
+        val event = EventSplitter(
+            ByteCredits(1_000_000)
+        ).feed("data: x\n\n".encodeToByteArray()).single()
         assertThat(event.id).isNull()
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/ByteCreditsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/memory/ByteCreditsTest.kt
@@ -1,4 +1,4 @@
-package org.bronzetide.edge.entry
+package org.bronzetide.edge.memory
 
 import kotlin.random.Random
 import kotlinx.coroutines.cancelAndJoin
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -62,6 +62,7 @@
         "main",
         """{"version":$version,"routes":[$routes],
             "services":[{"name":"api","health_path":"/health","max_conns":50},
+              {"name":"sound","health_path":"/health","max_conns":50},
               {"name":"model","health_path":"/health","max_conns":50,"engine":{"slots":8}}],
             "limits":{"max_header_bytes":16384,"max_body_bytes":100000,
               "header_timeout_ms":500,"idle_timeout_ms":15000},
