Keep what a caller has spent when its limit changes

A changed limit of the product's own entry gave the caller a new bucket, full again: an operator who lowered a limit granted one more burst. The bucket that replaces another one holds no more than that.

CallerLimiterTest's new case fails without the change.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/CallerLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/CallerLimiter.kt
@@ -56,7 +56,7 @@
         private fun TokenBucket?.update(perSecond: Double?, nowMs: Long): TokenBucket? = when {
             perSecond == null -> null
             this != null && this.perSecond == perSecond -> this
-            else -> TokenBucket(perSecond, maxOf(1.0, perSecond * BURST_SECONDS), nowMs)
+            else -> TokenBucket(perSecond, maxOf(1.0, perSecond * BURST_SECONDS), nowMs, this)
         }
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TokenBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/TokenBucket.kt
@@ -3,10 +3,16 @@
 /**
  * Limits a rate: holds up to [burst] units and is refilled with [perSecond] units per second.
  *
- * Corrections may make the balance negative; nothing is granted until it has recovered.
+ * Corrections may make the balance negative; nothing is granted until it has recovered. A bucket
+ * that replaces an earlier one holds no more than that, so a changed rate forgives nothing.
  */
-public class TokenBucket(public val perSecond: Double, public val burst: Double, nowMs: Long) {
-    private var balance = burst
+public class TokenBucket(
+    public val perSecond: Double,
+    public val burst: Double,
+    nowMs: Long,
+    earlier: TokenBucket? = null
+) {
+    private var balance = minOf(burst, earlier?.balanceAt(nowMs) ?: burst)
     private var updatedAtMs = nowMs
 
     /** Consumes [units] if the bucket holds them or is full, and returns whether it did. */
@@ -30,6 +36,11 @@
         return if (missing <= 0) 0 else (missing / perSecond * 1_000).toLong() + 1
     }
 
+    private fun balanceAt(nowMs: Long): Double {
+        refill(nowMs)
+        return balance
+    }
+
     private fun refill(nowMs: Long) {
         val elapsedMs = (nowMs - updatedAtMs).coerceAtLeast(0)
         balance = minOf(burst, balance + elapsedMs * perSecond / 1_000)
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/CallerLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/CallerLimiterTest.kt
@@ -34,4 +34,14 @@
         val waitMs = limiter.admit(caller, limits, 10.0, 0)!!
         check(waitMs in 8_000L..8_500L) { "$waitMs ms" }
     }
+
+    /** Guards against a change of a limit that gives a caller its whole burst again. */
+    @Example
+    fun `a changed limit does not refill what was spent`() {
+        repeat(10) { check(limiter.admit(caller, CallerLimits(5.0), 1.0, 0) == null) }
+        listOf(4.0, 5.0, 0.5, 5.0).forEach { perSecond ->
+            check(limiter.admit(caller, CallerLimits(perSecond), 1.0, 0) != null)
+        }
+        check(limiter.admit(caller, CallerLimits(5.0), 1.0, 200) == null)
+    }
 }
