Follow the configuration after one that cannot be decoded

A node's watch of the configuration ended for good at a value in the store that it could not decode, and the node kept the configuration before it. Such a value is now logged and skipped; the configuration in use stays.

--- a/bronzetide-cli/src/test/kotlin/org/bronzetide/cli/OperatorPathTest.kt
+++ b/bronzetide-cli/src/test/kotlin/org/bronzetide/cli/OperatorPathTest.kt
@@ -1,9 +1,13 @@
 package org.bronzetide.cli
 
+import kotlinx.coroutines.delay
 import net.jqwik.api.Example
 import org.bronzetide.model.ConfigObject
 import org.bronzetide.model.Intent
 import org.bronzetide.model.JsonFormats
+import org.bronzetide.platform.HttpObjectStore
+import org.bronzetide.platform.ReadResult
+import org.bronzetide.platform.WriteResult
 import org.bronzetide.standins.StoreFault
 
 /**
@@ -56,6 +60,26 @@
             check(newNode.configurationVersion == confirmed.version)
         }
 
+    /** Guards against a watch that ends for good at a value that it cannot decode. */
+    @Example
+    fun `a node follows the configuration after one that it cannot decode`() =
+        TestCluster.run(1) { test ->
+            val store = HttpObjectStore(test.http, test.cluster.store.url)
+            val valid = store.read(CONFIG_KEY) as ReadResult.Found
+            val invalid = store.write(CONFIG_KEY, """{"version":"one"}""", valid.stored.version)
+            check(invalid is WriteResult.Written)
+            delay(500)
+            val version = test.cluster.nodes.single().configurationVersion
+            val newer = valid.stored.value.replace(
+                "\"version\":$version",
+                "\"version\":${version + 1}"
+            )
+            check(store.write(CONFIG_KEY, newer, invalid.version) is WriteResult.Written)
+            test.await("followed") {
+                test.cluster.nodes.single().configurationVersion == version + 1
+            }
+        }
+
     private suspend fun plan(test: TestCluster, node: Int, deadlineMs: Long) = requireNotNull(
         test.operator(node).plan(
             JsonFormats.settings.encodeToString(
@@ -64,4 +88,8 @@
             )
         ).plan
     )
+
+    private companion object {
+        const val CONFIG_KEY = "bronzetide/config"
+    }
 }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/documents/PlatformWatcher.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/documents/PlatformWatcher.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.coordination.Member
 import org.bronzetide.coordination.NodeId
 import org.bronzetide.coordination.RendezvousHash
+import org.bronzetide.coordination.Versioned
 import org.bronzetide.model.Configuration
 import org.bronzetide.model.JsonFormats
 import org.bronzetide.platform.HostList
@@ -85,8 +86,11 @@
             when (result) {
                 is ReadResult.Found -> {
                     storeVersion = result.stored.version
-                    publishConfiguration(result.stored.value)
-                    backoff.reset()
+                    if (tryPublishConfiguration(result.stored)) {
+                        backoff.reset()
+                    } else {
+                        delay(backoff.nextDelayMs())
+                    }
                 }
 
                 is ReadResult.Missing -> control.call { markCurrent("empty store") }
@@ -99,13 +103,20 @@
         }
     }
 
-    /** Publishes the configuration in [text], as read from the store. */
-    private suspend fun publishConfiguration(text: String) {
-        val configuration = JsonFormats.wire.decodeFromString(Configuration.serializer(), text)
+    /** Publishes the configuration in [stored]; returns `false` if it is not valid. */
+    private suspend fun tryPublishConfiguration(stored: Versioned<String>): Boolean {
+        val configuration = try {
+            JsonFormats.wire.decodeFromString(Configuration.serializer(), stored.value)
+        } catch (cause: IllegalArgumentException) {
+            // The configuration in use stays; nothing would start an ended watch again.
+            log.error("{} at version {} cannot be decoded", CONFIG_KEY, stored.version, cause)
+            return false
+        }
         control.call {
             documents.publish(SharedDocument.CONFIG, configuration.toDocument())
             markCurrent("store")
         }
+        return true
     }
 
     private suspend fun pollHosts() {
