Log the state behind decisions on accounts near their quota

Each decision on an account that has used nine tenths of its burst now has a line with the level, the share, and the age and source of the last totals.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -129,7 +129,7 @@
         clock,
         AdmissionController(
             ::manifest,
-            QuotaLimiterAdapter(control, clock, quotaLimiter, settings.bounds) {
+            QuotaLimiterAdapter(control, clock, quotaLimiter, settings.bounds, log) {
                 scheduler.waitingCount > 0
             },
             awaitManifest = firstManifest::await
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -146,7 +146,8 @@
     private fun listen() = TcpServer(LOOPBACK, 0, loop)
 
     private object NoQuotas : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long): Long? = null
+        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
+            null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -27,10 +27,10 @@
     /** Limits the units that each account consumes. */
     interface AccountQuotas {
         /**
-         * Consumes [units] of [account]'s quota and returns `null`, or returns the milliseconds
-         * after which to retry if the quota is exhausted.
+         * Consumes [units] of [account]'s quota for the request [requestId] and returns `null`, or
+         * returns the milliseconds after which to retry if the quota is exhausted.
          */
-        suspend fun tryConsume(account: Account, units: Long): Long?
+        suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long?
 
         /** Returns [units] that were consumed for a request that no target ran. */
         fun refund(account: Account, units: Long)
@@ -63,7 +63,9 @@
             )
         }
         val priority = account?.priority ?: route.priority
-        val retryAfterMs = account?.let { quotas.tryConsume(it, unitsOf(metadata, it)) }
+        val retryAfterMs = account?.let {
+            quotas.tryConsume(it, unitsOf(metadata, it), metadata.requestId)
+        }
         if (account != null && retryAfterMs != null) {
             val logFields = versionField + listOf(
                 "account" to account.name,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -2,6 +2,7 @@
 
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.scheduling.fleet.QuotaLimiter
@@ -20,27 +21,43 @@
     private val clock: MonotonicClock,
     private val limiter: QuotaLimiter,
     private val bounds: HostSettings.Bounds,
+    private val log: DecisionLog,
     /** Whether requests are queued because their targets have no free capacity. */
     private val hasQueuedRequests: () -> Boolean
 ) : AdmissionController.AccountQuotas {
-    override suspend fun tryConsume(account: Account, units: Long): Long? {
+    override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? {
         if (account.quotaPerS <= 0) return null
         return control.call {
             val factor = 1 + bounds.quotaOverageRatio * GRANTED_OVERAGE_SHARE
             val hasSlack = account.isQuotaInTokens && !hasQueuedRequests()
             val slack = if (hasSlack) bounds.quotaSlackUnits * GRANTED_SLACK_SHARE else 0.0
             val burst = account.quotaBurst * factor
-            limiter.tryConsume(
-                account.name,
-                account.quotaPerS * factor,
-                burst,
-                units,
-                clock.nowMs(),
-                slack
-            )
+            val nowMs = clock.nowMs()
+            val perSecond = account.quotaPerS * factor
+            limiter.tryConsume(account.name, perSecond, burst, units, nowMs, slack)
+                .also { logNearQuota(account.name, requestId, units, it == null, nowMs) }
         }
     }
 
+    /** Logs the decisions of an account that has used most of its burst: it floods, or is close. */
+    private fun logNearQuota(
+        account: String,
+        requestId: String?,
+        units: Long,
+        isGranted: Boolean,
+        nowMs: Long
+    ) {
+        val state = limiter.stateOf(account, nowMs) ?: return
+        if (state.level > state.burst * LOGGED_LEVEL_SHARE) return
+        log.request(
+            "near quota", requestId, "account" to account, "units" to units,
+            "granted" to isGranted,
+            "level" to state.level.toLong(), "burst" to state.burst.toLong(),
+            "rateShare" to state.knowledge.rateShare, "updateAgeMs" to state.updateAgeMs,
+            "updateFrom" to state.source
+        )
+    }
+
     override fun refund(account: Account, units: Long) =
         control.post { limiter.refund(account.name, units) }
 
@@ -50,5 +67,7 @@
 
         /** The share of the slack that is granted, from which unreported grants are deducted. */
         const val GRANTED_SLACK_SHARE = 0.1
+
+        private const val LOGGED_LEVEL_SHARE = 0.1
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
@@ -49,7 +49,8 @@
     )
 
     private object UnlimitedQuotas : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long): Long? = null
+        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
+            null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -90,7 +90,8 @@
     }
 
     private object Unlimited : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long): Long? = null
+        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
+            null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -19,6 +19,7 @@
     private val peerGrants = PeerGrants()
     private var totalsAtLastUpdate: Map<String, Long> = emptyMap()
     private var lastUpdateAtMs = 0L
+    private var lastSource: String? = null
 
     /** When this host started, if grants before that are unknown. */
     private var startedAtMs: Long? = null
@@ -115,6 +116,11 @@
     /** The [ownTotals] at the last update from the other hosts, by account. */
     public fun ownTotalsAtLastUpdate(): Map<String, Long> = totalsAtLastUpdate
 
+    /** The state on which decisions about [account] are based, or `null` if there were none. */
+    public fun stateOf(account: String, nowMs: Long): State? = buckets[account]?.let {
+        State(it.level, it.burst, knowledge, nowMs - lastUpdateAtMs, lastSource)
+    }
+
     /** The units above which grants of [account] are announced early, or `null` if unknown. */
     public fun announcedUnits(account: String): Double? =
         buckets[account]?.let { (it.burst + it.perSecond) * ANNOUNCED_SHARE }
@@ -137,6 +143,7 @@
     ) {
         val hasJustStarted = sourceAgeMs <= nowMs - lastUpdateAtMs + propagationDelayMs
         lastUpdateAtMs = nowMs
+        lastSource = from
         totalsAtLastUpdate = HashMap(ownTotals)
         peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs, hasJustStarted)
             .filterValues { it != 0L }
@@ -166,6 +173,17 @@
         return if (isUnknown && level > 0) level * knowledge.rateShare else level
     }
 
+    /** This host's copy of an account's bucket, and what it is based on. */
+    public data class State(
+        val level: Double,
+        val burst: Double,
+        val knowledge: PeerKnowledge,
+        /** The time since the last totals of the other hosts, in milliseconds. */
+        val updateAgeMs: Long,
+        /** The host that sent them, or `null` if there were none. */
+        val source: String?
+    )
+
     private class Bucket(
         var perSecond: Double,
         var burst: Double,
