Do not count an account twice that the backup names later

A source now counts from what was confirmed when it was first heard.

Beside it, the totals that a new aggregator starts from are those of the last report, not those at the last update, between which grants were lost.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -241,7 +241,8 @@
         inFlightRequests.closeIdleConnections()
         val drainTimeoutMs = settings.bounds.stopGraceMs - BALANCER_DELAY_MS - EXIT_MARGIN_MS
         awaitRequests(drainTimeoutMs - ANSWER_MARGIN_MS)
-        log.stateChange("ending requests", "requests" to inFlightRequests.count)
+        val remaining = inFlightRequests.count
+        if (remaining > 0) log.stateChange("ending requests", "requests" to remaining)
         processEnd.end()
         awaitRequests(ANSWER_MARGIN_MS)
         log.stateChange("stopped", "requestsCutOff" to inFlightRequests.count)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -219,7 +219,7 @@
         val report = LoadReport(
             self.value,
             scheduler.ownLoads(),
-            quotas.ownTotals().toMap(),
+            quotas.takeReport(),
             quotas.ownTotalsAtLastUpdate(),
             scheduler.suspects(nowMs),
             scheduler.takeObservedSlowdowns(),
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PeerGrants.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PeerGrants.kt
@@ -35,14 +35,17 @@
         hasJustStarted: Boolean
     ): Map<String, Long> {
         val last = sources[from]?.takeIf { sourceAgeMs > nowMs - it.updatedAtMs }
-        val source = last ?: Source(nowMs).also { sources[from] = it }
+        val source = last ?: Source(nowMs).also {
+            it.confirmed.putAll(confirmed)
+            sources[from] = it
+        }
         source.updatedAtMs = nowMs
         sources.values.removeIf { nowMs - it.updatedAtMs > SOURCE_RETENTION_MS }
         if (last == null && !hasJustStarted) source.totals.putAll(totals)
         val changes = HashMap<String, Long>()
         totals.forEach { (account, total) ->
             val before = known[account] ?: 0L
-            val base = source.confirmed.getOrPut(account) { confirmed[account] ?: 0L }
+            val base = source.confirmed[account] ?: 0L
             val granted = base + total - (source.totals[account] ?: 0L)
             if (isPrimary) confirmed[account] = granted
             if (isPrimary || granted > before) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -17,6 +17,7 @@
     private val buckets = HashMap<String, Bucket>()
     private val ownTotals = HashMap<String, Long>()
     private val peerGrants = PeerGrants()
+    private var reportedTotals: Map<String, Long> = emptyMap()
     private var totalsAtLastUpdate: Map<String, Long> = emptyMap()
     private var lastUpdateAtMs = 0L
     private var lastSource: String? = null
@@ -38,13 +39,10 @@
 
     /** Changes what this host may spend, from [nowMs] on. */
     public fun updateKnowledge(changed: PeerKnowledge, nowMs: Long) {
-        if (changed == knowledge) return
-        buckets.values.forEach { it.refill(nowMs, knowledge.rateShare) }
-        if (changed is PeerKnowledge.Unknown &&
-            knowledge is PeerKnowledge.Current
-        ) {
-            keepShare(changed)
-        }
+        val before = knowledge
+        if (changed == before) return
+        buckets.values.forEach { it.refill(nowMs, before.rateShare) }
+        if (changed is PeerKnowledge.Unknown && before is PeerKnowledge.Current) keepShare(changed)
         knowledge = changed
     }
 
@@ -113,7 +111,10 @@
     /** The units that this host has consumed in total, less refunds, by account. */
     public fun ownTotals(): Map<String, Long> = ownTotals
 
-    /** The [ownTotals] at the last update from the other hosts, by account. */
+    /** Returns the [ownTotals] for a report to the other hosts. */
+    public fun takeReport(): Map<String, Long> = HashMap(ownTotals).also { reportedTotals = it }
+
+    /** The [ownTotals] that were reported before the last update from the other hosts. */
     public fun ownTotalsAtLastUpdate(): Map<String, Long> = totalsAtLastUpdate
 
     /** The state on which decisions about [account] are based, or `null` if there were none. */
@@ -144,7 +145,7 @@
         val hasJustStarted = sourceAgeMs <= nowMs - lastUpdateAtMs + propagationDelayMs
         lastUpdateAtMs = nowMs
         lastSource = from
-        totalsAtLastUpdate = HashMap(ownTotals)
+        totalsAtLastUpdate = reportedTotals
         peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs, hasJustStarted)
             .filterValues { it != 0L }
             .forEach { (account, units) ->
