--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTarget.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakTarget.kt
@@ -1,5 +1,7 @@
 package org.bronzetide.edge.soak
 
+import java.util.Collections
+import java.util.WeakHashMap
 import kotlin.random.Random
 import kotlinx.coroutines.delay
 import org.bronzetide.edge.standin.StandInServer
@@ -16,9 +18,16 @@
     private val store: StoreStandIn,
     private val random: Random
 ) : AutoCloseable {
-    /** The share of requests that are refused, truncated or followed by a surplus response. */
+    /**
+     * The share of requests that are refused, truncated, or preceded or followed by a response that
+     * belongs to no request.
+     */
     @Volatile
     var failureRate = 0.0
+    private val usedConnections: MutableSet<CallerConnection> =
+        Collections.newSetFromMap(WeakHashMap<CallerConnection, Boolean>()).let {
+            Collections.synchronizedSet(it)
+        }
     private val server = StandInServer { request, _, connection -> respond(request, connection) }
     val proxy = FaultProxy(server.port)
 
@@ -36,16 +45,20 @@
     }
 
     private suspend fun respond(request: IncomingRequest, connection: CallerConnection): Boolean {
+        val requestId = request.headers["Request-Id"].orEmpty()
+        val echo = listOf(Header("Request-Id", requestId))
         if (request.headers["Expect-Replica"] != id) {
-            connection.send(421, emptyList(), ByteArray(0))
+            connection.send(421, echo, ByteArray(0))
             return true
         }
         val isFaulty = random.nextDouble() < failureRate
         if (isFaulty && random.nextInt(4) == 0) {
-            connection.send(503, listOf(Header("Not-Executed", "1")), ByteArray(0))
+            connection.send(503, echo + NOT_EXECUTED, ByteArray(0))
             return true
         }
-        val requestId = request.headers["Request-Id"].orEmpty()
+        // A late refusal without an id; the first request of a connection cannot get one.
+        val isUsed = !usedConnections.add(connection)
+        if (isFaulty && isUsed) connection.send(503, listOf(NOT_EXECUTED), ByteArray(0))
         val forged = request.headers.filter { it.value == "forged" }.map { it.name }
         checker.onExecution(requestId, request.headers["Tenant"], forged)
         val headers =
@@ -88,4 +101,8 @@
         connection.finishResponse()
         return true
     }
+
+    private companion object {
+        val NOT_EXECUTED = Header("Not-Executed", "1")
+    }
 }
