Share the parts of the quota exchange and of writing bodies

A second reading of the change: totals of a summary and of an announcement took two functions of six arguments to one place, the time to join stood in two classes, the host's own name was handed to each call, the number of reporting hosts was a property beside hosts(), and bodies were written in parts by two copies of one loop. One piece serves each now. Behaviour is unchanged.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -64,6 +64,7 @@
     private val crashEvidence = CrashEvidenceExchange(scheduler.poisonParts, log)
     private var seeds = settings.seeds
     private val quotaExchange = QuotaExchange(
+        self.value,
         quotas,
         aggregator,
         membership,
@@ -119,9 +120,10 @@
     }
 
     /** Whether this host has started a moment ago and not found any of its peers yet. */
-    private fun isJoining(nowMs: Long): Boolean = nowMs - startedAtMs < JOIN_TIMEOUT_MS &&
-        hasOtherSeeds &&
-        membership.view().none { it.id != self }
+    private fun isJoining(nowMs: Long): Boolean =
+        nowMs - startedAtMs < QuotaExchange.JOIN_TIMEOUT_MS &&
+            hasOtherSeeds &&
+            membership.view().none { it.id != self }
 
     /** Sets the addresses of hosts that are probed until they are known as members. */
     fun updateSeeds(found: List<SocketAddress>) {
@@ -339,9 +341,9 @@
         if (message.host !in aggregator.hosts()) crashEvidence.onHostAdded()
         reporterIps[message.host] = senderIp
         aggregator.onReport(report, nowMs)
-        quotaExchange.announceIfMany(self.value, exchangeIntervalMs())
+        quotaExchange.announceIfMany(exchangeIntervalMs())
         if (message.isForBackup) {
-            return sendGrants(message.host, quotaExchange.totalsFor(message.host, self.value))
+            return sendGrants(message.host, quotaExchange.totalsFor(message.host))
         }
         message.crashes?.let { crashEvidence.onReceived(it, isReport = true, nowMs) }
         // Hosts that have chosen this one are served even if it has chosen another aggregator.
@@ -374,7 +376,7 @@
                 "hub" to message.aggregator
             )
         }
-        quotaExchange.onSummary(message, isPrimary, exchangeIntervalMs())
+        quotaExchange.onGrants(message.toGrants(), isPrimary, exchangeIntervalMs())
         scheduler.updatePeerLoads(message.loads.toLoads(), nowMs, exchangeIntervalMs())
         scheduler.updatePeerDemands(message.demands.toDemands())
         scheduler.updatePeerSuspects(message.suspects.toSet())
@@ -389,9 +391,6 @@
         const val PROBE_INTERVAL_MS = 500L
         const val JOIN_PROBE_INTERVAL_MS = 100L
 
-        /** After this time a host without peers takes itself for the only one. */
-        const val JOIN_TIMEOUT_MS = 3_000L
-
         /** Assumed until the other hosts are known; larger fleets are seldom down as a whole. */
         const val ASSUMED_HOST_COUNT = 16
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -38,6 +38,10 @@
     demands.toDemands()
 )
 
+/** The quotas' part of a summary. */
+internal fun PeerMessage.Summary.toGrants(): PeerMessage.Grants =
+    PeerMessage.Grants(aggregator, quotas, hostCount, aggregatorAgeMs)
+
 internal fun Map<String, FleetScheduler.PeerLoad>.toMessages(): List<PeerMessage.Load> =
     map { PeerMessage.Load(it.key, it.value.count, it.value.promptTokens) }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -20,6 +20,7 @@
  * Confined to the control thread.
  */
 internal class QuotaExchange(
+    private val self: String,
     private val quotas: QuotaLimiter,
     private val aggregator: LoadAggregator,
     private val membership: Membership,
@@ -45,40 +46,15 @@
         quotas.updateKnowledge(PeerKnowledge.Unknown(assumedHostCount), startedAtMs)
     }
 
-    /** Handles totals with which the aggregator or its backup replies or announces grants. */
-    fun onGrants(message: PeerMessage.Grants, isPrimary: Boolean, intervalMs: Long) = update(
-        message.aggregator,
-        message.quotas,
-        message.hostCount,
-        message.aggregatorAgeMs,
-        isPrimary,
-        intervalMs
-    )
-
-    /** Handles the totals in a summary. */
-    fun onSummary(message: PeerMessage.Summary, isPrimary: Boolean, intervalMs: Long) = update(
-        message.aggregator,
-        message.quotas,
-        message.hostCount,
-        message.aggregatorAgeMs,
-        isPrimary,
-        intervalMs
-    )
-
-    private fun update(
-        from: String,
-        totals: List<PeerMessage.QuotaTotal>,
-        reportingCount: Int,
-        sourceAgeMs: Long,
-        isPrimary: Boolean,
-        intervalMs: Long
-    ) {
+    /** Handles totals from the aggregator, which [isPrimary], or from its backup. */
+    fun onGrants(message: PeerMessage.Grants, isPrimary: Boolean, intervalMs: Long) {
         val nowMs = clock.nowMs()
         lastUpdateAtMs = nowMs
         quotas.propagationDelayMs = intervalMs * UPDATE_INTERVALS
-        val units = totals.associate { it.account to it.units }
-        quotas.onPeerTotals(from, units, nowMs, sourceAgeMs, isPrimary)
+        val totals = message.quotas.associate { it.account to it.units }
+        quotas.onPeerTotals(message.aggregator, totals, nowMs, message.aggregatorAgeMs, isPrimary)
         // Hosts that do not report to the aggregator may grant their share by themselves.
+        val reportingCount = message.hostCount
         val sharing = hostCount(nowMs).coerceAtLeast(reportingCount)
         val hasPeers = reportingCount > 1 && reportingCount * 2 >= sharing
         isJoined = isJoined || hasPeers || nowMs - startedAtMs >= JOIN_TIMEOUT_MS
@@ -94,35 +70,36 @@
     }
 
     /** Announces grants to all hosts if those not announced yet are many. */
-    fun announceIfMany(self: String, intervalMs: Long) {
+    fun announceIfMany(intervalMs: Long) {
+        if (isAnnouncing) return
         val nowMs = clock.nowMs()
         val accounts = aggregator.unannounced().filter { (account, units) ->
             units >= (quotas.announcedUnits(account) ?: Double.MAX_VALUE)
         }.keys.toSet()
-        if (accounts.isEmpty() || isAnnouncing) return
+        if (accounts.isEmpty()) return
         val pauseMs = maxOf(MIN_ANNOUNCE_INTERVAL_MS, intervalMs / ANNOUNCEMENTS_PER_EXCHANGE)
         val remainingMs = announcedAtMs + pauseMs - nowMs
         if (remainingMs > 0) {
             isAnnouncing = true
             timers.after(remainingMs) {
                 isAnnouncing = false
-                announceIfMany(self, intervalMs)
+                announceIfMany(intervalMs)
             }
             return
         }
         announcedAtMs = nowMs
         aggregator.onAnnounced(accounts)
-        aggregator.hosts().toList().forEach { send(it, totalsFor(it, self, accounts)) }
+        aggregator.hosts().toList().forEach { send(it, totalsFor(it, accounts)) }
     }
 
     /** The totals of [accounts], or of all accounts, for [host]. */
-    fun totalsFor(host: String, self: String, accounts: Set<String>? = null): PeerMessage.Grants {
+    fun totalsFor(host: String, accounts: Set<String>? = null): PeerMessage.Grants {
         val totals = aggregator.quotaTotalsFor(host)
             .filterKeys { accounts == null || it in accounts }
         return PeerMessage.Grants(
             self,
             totals.toQuotaMessages(),
-            aggregator.hostCount,
+            aggregator.hosts().size,
             aggregator.ageMs(clock.nowMs())
         )
     }
@@ -150,24 +127,24 @@
         return lastSeenAtMs.size.coerceAtLeast(1)
     }
 
-    private companion object {
-        /** After this time a host without peers is the only one. */
+    internal companion object {
+        /** After this time a host without peers takes itself for the only one. */
         const val JOIN_TIMEOUT_MS = 3_000L
 
         /** Longer than the network partitions from which hosts return. */
-        const val SEEN_HOST_RETENTION_MS = 30_000L
+        private const val SEEN_HOST_RETENTION_MS = 30_000L
 
         /** An update waits for a report and then for the summary; one of them may be lost. */
-        const val UPDATE_INTERVALS = 3
+        private const val UPDATE_INTERVALS = 3
 
         /** Of two replies in each interval, all were lost. */
-        const val UNKNOWN_INTERVALS = 2
+        private const val UNKNOWN_INTERVALS = 2
 
         /** Longer than the pauses of a process that is short of processor time. */
-        const val MIN_UNKNOWN_MS = 300L
+        private const val MIN_UNKNOWN_MS = 300L
 
         // Bound the messages of an aggregator while an account floods.
-        const val MIN_ANNOUNCE_INTERVAL_MS = 50L
-        const val ANNOUNCEMENTS_PER_EXCHANGE = 4
+        private const val MIN_ANNOUNCE_INTERVAL_MS = 50L
+        private const val ANNOUNCEMENTS_PER_EXCHANGE = 4
     }
 }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -89,11 +89,7 @@
         output.writePacket(
             head(status, headers + Header("Content-Length", body.size.toString())).build()
         )
-        // Parts keep the copy of a large body in the output small.
-        for (start in body.indices step BODY_PART_BYTES) {
-            if (start > 0) output.flush()
-            output.writeFully(body, start, minOf(start + BODY_PART_BYTES, body.size))
-        }
+        output.writeInParts(body)
         output.flush()
     }
 
@@ -142,6 +138,5 @@
 
     private companion object {
         const val HEX = 16
-        const val BODY_PART_BYTES = 65_536
     }
 }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -3,7 +3,6 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseResponse
-import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import java.io.EOFException
 
@@ -60,12 +59,7 @@
         }
         builder.emptyLine()
         output.writePacket(builder.build())
-        // Parts keep the copy of a large body in the output small.
-        for (start in request.body.indices step BODY_PART_BYTES) {
-            if (start > 0) output.flush()
-            val end = minOf(start + BODY_PART_BYTES, request.body.size)
-            output.writeFully(request.body, start, end)
-        }
+        output.writeInParts(request.body)
         output.flush()
     }
 
@@ -104,7 +98,6 @@
 
     private companion object {
         const val FINAL_STATUS = 200
-        const val BODY_PART_BYTES = 65_536
         val statusesWithoutBody = setOf(204, 304)
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -79,9 +79,6 @@
         return quotaTotals.mapValues { (account, total) -> total - (own[account] ?: 0) }
     }
 
-    /** The number of hosts whose reports have not expired. */
-    public val hostCount: Int get() = reports.size
-
     /** How long hosts have been reporting here without interruption, in milliseconds. */
     public fun ageMs(nowMs: Long): Long = nowMs - startedAtMs
 
