Probe often in the first second, so that hosts that start together agree

After a restart of all hosts a small account was refused below its quota for more than one exchange: the answer to a host that starts names the members known by then, and it learned of those after it by rumors each 0.5 s. Until then hosts chose different aggregators, whose totals cover too few hosts.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -109,10 +109,11 @@
         scheduleExchange()
     }
 
-    /** Probes the seeds often while none of them has answered: all hosts may have just started. */
+    /** Probes often after the start: all hosts may have just started, one after the other. */
     private fun scheduleJoin() {
         timers.after(JOIN_PROBE_INTERVAL_MS) {
-            if (isJoining(clock.nowMs())) {
+            val nowMs = clock.nowMs()
+            if (isJoining(nowMs) || nowMs - startedAtMs < JOIN_PROBES_MS) {
                 probe()
                 scheduleJoin()
             }
@@ -389,7 +390,10 @@
 
     private companion object {
         const val PROBE_INTERVAL_MS = 500L
-        const val JOIN_PROBE_INTERVAL_MS = 100L
+        const val JOIN_PROBE_INTERVAL_MS = 50L
+
+        /** How long a host that has found peers probes often, to hear of others that start. */
+        const val JOIN_PROBES_MS = 1_000L
 
         /** Assumed until the other hosts are known; larger fleets are seldom down as a whole. */
         const val ASSUMED_HOST_COUNT = 16
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerCoordinatorTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerCoordinatorTest.kt
@@ -4,6 +4,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.scheduling.fleet.PeerKnowledge
 
 /** Loads and quotas of hosts that know one seed, with lost datagrams and isolated hosts. */
 class PeerCoordinatorTest {
@@ -30,6 +31,17 @@
         assertThat(hosts[2].peerCount()).isEqualTo(5)
     }
 
+    /** Guards against hosts that start together and learn of each other one by one. */
+    @Property(tries = 20)
+    fun hostsThatStartAtOnceAgreeWithinFourExchanges(@ForAll seed: Long) {
+        reset(seed, hostCount = 8, loss = 0.0)
+        network.run(200)
+        assertThat(hosts).allMatch {
+            it.coordinator.hostCount == 8 && it.quotas.knowledge == PeerKnowledge.Current()
+        }
+        assertThat(hosts.map { it.coordinator.aggregatorName }.distinct()).hasSize(1)
+    }
+
     @Example
     fun unresponsiveAggregatorIsReplacedWithinHalfASecond() {
         reset(seed = 2, hostCount = 6, loss = 0.0)
