Seed all random choices of the simulated peers

Its seed did not repeat the run: node ids, from which the aggregator follows, and the membership's probes drew from another generator.

With this change a seed repeats its run.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
@@ -18,8 +18,8 @@
          * Returns the id of a process that starts now on the host [name]. Its second part is
          * random: a time of day that jumps back could make two processes alike.
          */
-        public fun ofNewProcess(name: String): NodeId {
-            val part = Random.nextLong().toULong().toString(RADIX)
+        public fun ofNewProcess(name: String, random: Random = Random.Default): NodeId {
+            val part = random.nextLong().toULong().toString(RADIX)
             return NodeId("$name~$part")
         }
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -33,7 +33,8 @@
     private val scheduler: FleetScheduler,
     private val quotas: QuotaLimiter,
     private val log: DecisionLog,
-    private val env: Environment
+    private val env: Environment,
+    private val random: Random = Random.Default
 ) {
     /** The functions of the process that the coordinator uses. */
     class Environment(
@@ -43,7 +44,7 @@
         val onNewerManifest: (String) -> Unit
     )
 
-    private val self = NodeId.ofNewProcess(settings.nodeName)
+    private val self = NodeId.ofNewProcess(settings.nodeName, random)
     private val membership = Membership(
         Member(
             self,
@@ -55,7 +56,7 @@
             cpuCores = settings.cpuCores
         ),
         clock,
-        Random.Default
+        random
     )
     private val aggregator = LoadAggregator(REPORT_TIMEOUT_MS)
 
@@ -147,7 +148,7 @@
 
     /** The IP addresses of the peers that are not known to be dead, in random order. */
     fun peerIps(): List<String> = membership.view()
-        .filter { it.id != self && it.state != MemberState.DEAD }.map { it.host }.shuffled()
+        .filter { it.id != self && it.state != MemberState.DEAD }.map { it.host }.shuffled(random)
 
     private fun probe() {
         val before = membership.version
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -84,7 +84,8 @@
                 { to, message -> deliver(this, to, message) },
                 { manifestVersion },
                 { newerManifestAt += it }
-            )
+            ),
+            Random(random.nextLong())
         )
 
         init {
