Count grants of the past neither at a start nor twice for two aggregators

Callers within their quota were refused for seconds by a host that had started a moment ago, and accounts that had flooded by all hosts after a partition.

Cause: the first totals of an aggregator were deducted in full if it had begun after the last update from any other. A host that starts has had no update, and its last one counted as at the origin of the machine's clock: it took for new what an aggregator had counted since it began. Two aggregators that begin together report the same grants, which counted twice.

Now first totals are added to what was known when the aggregator began, and only set a baseline if that is before the start of this host or too long ago.

Both new tests of PeerGrantsTest are of this rule. The simulated clock now starts before the hosts, as a machine's does; before, the origin hid the fault.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -96,6 +96,9 @@
     /** The id of the host that this one reports to, or an empty string. */
     val aggregatorName: String get() = currentAggregator?.value.orEmpty()
 
+    /** The id of the host that takes over from the aggregator, or an empty string. */
+    val backupName: String get() = backup?.value.orEmpty()
+
     /** The members with their states, for display. */
     fun memberNames(): List<String> = membership.view().map { "${it.id.value} ${it.state}" }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -20,7 +20,8 @@
  * isolates some hosts. All of it runs on one clock, in steps of [STEP_MS] milliseconds.
  */
 internal class PeerNetwork(seed: Long, private val lossShare: Double = 0.0) {
-    val clock = ManualClock()
+    /** Started long before the first host, as the clock of a machine is. */
+    val clock = ManualClock(timeMs = 3_600_000)
     val hosts = ArrayList<Host>()
     val random = Random(seed)
     private var startedCount = 0
@@ -42,6 +43,12 @@
         startHosts(names.size)
     }
 
+    /** Replaces the process of [host]; the new one has another name and address. */
+    fun replace(host: Host): Host {
+        hosts.remove(host)
+        return startHost()
+    }
+
     fun run(durationMs: Long) {
         repeat((durationMs / STEP_MS).toInt()) {
             clock.advance(STEP_MS)
@@ -99,6 +106,9 @@
 
         fun isAggregator(): Boolean = coordinator.aggregatorName.startsWith("$name~")
 
+        /** Whether the first host has this one as its backup of the aggregator. */
+        fun isBackup(): Boolean = hosts.first().coordinator.backupName.startsWith("$name~")
+
         /** Whether a request of [account] over [units] is granted, with [QUOTA_PER_S] * [share]. */
         fun admits(units: Long, account: String = "a", share: Double = 1.0): Boolean {
             val perSecond =
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
@@ -13,6 +13,9 @@
     private var network = PeerNetwork(seed = 1)
     private val hosts get() = network.hosts
     private val grants = ArrayList<Grant>()
+
+    /** The refused requests of the account that floods, by host, since its last change. */
+    private val refusals = HashMap<String, Int>()
     private var smallRequests = 0
     private var smallRefusals = 0
 
@@ -61,6 +64,18 @@
         assertThatGrantsAreWithinTheBound()
     }
 
+    /** Guards against a host that starts and charges accounts for all grants of the past. */
+    @Property(tries = 10)
+    fun accountWithinItsQuotaIsServedByAHostThatStartsLater(@ForAll seed: Long) {
+        start(seed, 8, lossShare = 0.0)
+        flood(12_000, factor = 0.6)
+        val replaced = hosts.first { !it.isAggregator() && !it.isBackup() && it != hosts.first() }
+        val started = network.replace(replaced)
+        flood(JOIN_AND_REFILL_MS, factor = 0.6)
+        flood(4_000, factor = 0.6)
+        assertThat(refusals[started.name] ?: 0).isZero()
+    }
+
     /** Guards against hosts that start, each of which takes itself for the only one. */
     @Property(tries = 4)
     fun floodThroughARestartOfAllHostsStaysWithinItsBound(@ForAll seed: Long) {
@@ -103,18 +118,23 @@
         network.run(8_000)
     }
 
-    /** An account asks for nine times its quota, another one for a fifth, on all hosts. */
-    private fun flood(durationMs: Long) {
-        val chance = FLOOD_FACTOR * PeerNetwork.QUOTA_PER_S * PeerNetwork.STEP_MS /
-            (1_000 * MEAN_UNITS * hosts.size)
+    /** An account asks for [factor] times its quota, another one for a fifth, on all hosts. */
+    private fun flood(durationMs: Long, factor: Double = FLOOD_FACTOR) {
+        refusals.clear()
+        val quotaChance =
+            PeerNetwork.QUOTA_PER_S * PeerNetwork.STEP_MS / (1_000 * MEAN_UNITS * hosts.size)
         repeat((durationMs / PeerNetwork.STEP_MS).toInt()) {
             network.run(PeerNetwork.STEP_MS)
             hosts.forEach { host ->
-                if (network.random.nextDouble() < chance) {
+                if (network.random.nextDouble() < quotaChance * factor) {
                     val units = network.random.nextLong(MIN_UNITS, MAX_UNITS)
-                    if (host.admits(units)) grants += Grant(network.clock.nowMs(), units)
+                    if (host.admits(units)) {
+                        grants += Grant(network.clock.nowMs(), units)
+                    } else {
+                        refusals.merge(host.name, 1, Int::plus)
+                    }
                 }
-                if (network.random.nextDouble() < chance * SMALL_SHARE / FLOOD_FACTOR) {
+                if (network.random.nextDouble() < quotaChance * SMALL_SHARE) {
                     val units = network.random.nextLong(MIN_UNITS, MAX_UNITS)
                     smallRequests++
                     if (!host.admits(units, account = "small")) smallRefusals++
@@ -145,5 +165,8 @@
 
         /** Finding the seed takes up to 100 ms, then there is an exchange each 50 ms. */
         const val EXCHANGE_AFTER_START_MS = 200L
+
+        /** An exchange after the start, and the time in which the quota grows by one request. */
+        const val JOIN_AND_REFILL_MS = 400L
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PeerGrants.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/PeerGrants.kt
@@ -4,14 +4,20 @@
  * Tracks what the other hosts have granted, by account, from the running totals of several
  * aggregators, one of which is the primary.
  *
- * Totals of different aggregators cannot be compared, as each began to count at another time. Those
- * of an aggregator other than the primary count from the last amount that the primary confirmed.
- * They only add what the primary has not reported yet, and take over without a gap when it fails.
+ * Totals of different aggregators cannot be compared, as each began to count at another time. The
+ * first totals of an aggregator are added to what was known when it began; if that was too long
+ * ago, they only set its baseline. Those of an aggregator other than the primary count from the
+ * last amount that the primary confirmed. They only add what the primary has not reported yet, and
+ * take over without a gap when it fails.
  */
 internal class PeerGrants {
     private val confirmed = HashMap<String, Long>()
     private val known = HashMap<String, Long>()
     private val sources = HashMap<String, Source>()
+    private val recentChanges = ArrayDeque<Change>()
+
+    /** Since when the changes of [known] have been recorded, or `null` if there was no update. */
+    private var recordedSinceMs: Long? = null
 
     /** The totals of one aggregator at the last moment when they were compared with [confirmed]. */
     private class Source(var updatedAtMs: Long) {
@@ -19,29 +25,28 @@
         val confirmed = HashMap<String, Long>()
     }
 
+    private class Change(val atMs: Long, val account: String, val units: Long)
+
+    /** Begins at [nowMs] with nothing granted; what was granted before does not count. */
+    fun startEmpty(nowMs: Long) {
+        recordedSinceMs = nowMs
+    }
+
     /**
-     * Adds the [totals] of [from] and returns by how much the known grants of the others change.
-     * Amounts fall when units are refunded.
-     *
-     * The first totals of a source only set its baseline, unless it [hasJustStarted]: then they
-     * count what hosts granted since their last update.
+     * Adds the [totals] of [from], which began to count [sourceAgeMs] milliseconds ago, and returns
+     * by how much the known grants of the others change. Amounts fall when units are refunded.
      */
     fun onTotals(
         from: String,
         totals: Map<String, Long>,
         nowMs: Long,
         isPrimary: Boolean,
-        sourceAgeMs: Long,
-        hasJustStarted: Boolean
+        sourceAgeMs: Long
     ): Map<String, Long> {
         val last = sources[from]?.takeIf { sourceAgeMs > nowMs - it.updatedAtMs }
-        val source = last ?: Source(nowMs).also {
-            it.confirmed.putAll(confirmed)
-            sources[from] = it
-        }
+        val source = last ?: newSource(totals, nowMs, sourceAgeMs).also { sources[from] = it }
         source.updatedAtMs = nowMs
         sources.values.removeIf { nowMs - it.updatedAtMs > SOURCE_RETENTION_MS }
-        if (last == null && !hasJustStarted) source.totals.putAll(totals)
         val changes = HashMap<String, Long>()
         totals.forEach { (account, total) ->
             val before = known[account] ?: 0L
@@ -58,11 +63,49 @@
                 source.totals[account] = total
             }
         }
+        record(changes, nowMs)
         return changes
     }
 
+    private fun newSource(totals: Map<String, Long>, nowMs: Long, ageMs: Long): Source {
+        val source = Source(nowMs)
+        val recordedSince = recordedSinceMs ?: nowMs
+        if (ageMs > nowMs - recordedSince || ageMs > CHANGE_RETENTION_MS) {
+            source.confirmed.putAll(known)
+            source.totals.putAll(totals)
+            return source
+        }
+        val knownAtStart = HashMap(known)
+        recentChanges.filter { it.atMs > nowMs - ageMs }
+            .forEach { knownAtStart.merge(it.account, -it.units, Long::plus) }
+        totals.forEach { (account, total) ->
+            // Some hosts began to report to it later, and count there from then on only.
+            val latest = known[account] ?: 0L
+            val atStart = knownAtStart[account] ?: 0L
+            if (atStart + total < latest) {
+                knownAtStart[account] = latest
+                source.totals[account] = total
+            }
+        }
+        source.confirmed.putAll(knownAtStart)
+        return source
+    }
+
+    private fun record(changes: Map<String, Long>, nowMs: Long) {
+        if (recordedSinceMs == null) recordedSinceMs = nowMs
+        changes.filterValues { it != 0L }.mapTo(recentChanges) { (account, units) ->
+            Change(nowMs, account, units)
+        }
+        while (nowMs - (recentChanges.firstOrNull()?.atMs ?: nowMs) > CHANGE_RETENTION_MS) {
+            recentChanges.removeFirst()
+        }
+    }
+
     private companion object {
         /** Longer than an aggregator is excluded after it was silent. */
         const val SOURCE_RETENTION_MS = 30_000L
+
+        /** Longer than hosts take to agree on a new aggregator after several were lost. */
+        const val CHANGE_RETENTION_MS = 8_000L
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -35,6 +35,7 @@
     /** Begins with empty buckets at [nowMs], as what was granted before is unknown. */
     public fun startEmpty(nowMs: Long) {
         startedAtMs = nowMs
+        peerGrants.startEmpty(nowMs)
     }
 
     /** Changes what this host may spend, from [nowMs] on. */
@@ -131,9 +132,6 @@
      * account as counted by [from], which started counting [sourceAgeMs] milliseconds ago. The
      * accounts left out are unchanged. Totals of the primary aggregator ([isPrimary]) replace what
      * others have reported since its previous ones.
-     *
-     * The first totals of a source are deducted if it started after the last update from another
-     * source; otherwise they only set the baseline.
      */
     public fun onPeerTotals(
         from: String,
@@ -142,11 +140,10 @@
         sourceAgeMs: Long = Long.MAX_VALUE,
         isPrimary: Boolean = true
     ) {
-        val hasJustStarted = sourceAgeMs <= nowMs - lastUpdateAtMs + propagationDelayMs
         lastUpdateAtMs = nowMs
         lastSource = from
         totalsAtLastUpdate = reportedTotals
-        peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs, hasJustStarted)
+        peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs)
             .filterValues { it != 0L }
             .forEach { (account, units) ->
                 recentGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/PeerGrantsTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/PeerGrantsTest.kt
@@ -29,6 +29,24 @@
         assertThat(change("backup", mapOf("a" to 65L))["a"]).isEqualTo(5)
     }
 
+    /** Guards against debts that count the same grants once for each aggregator that begins. */
+    @Example
+    fun grantsThatTwoNewAggregatorsBothReportAreCountedOnce() {
+        grants.startEmpty(0)
+        change("hub", mapOf("a" to 500L), nowMs = 2_000, ageMs = 100)
+        val other = change("backup", mapOf("a" to 520L), false, nowMs = 2_010, ageMs = 60)
+        assertThat(other["a"]).isEqualTo(20)
+    }
+
+    /** Guards against accounts that a host which starts charges for all grants of the past. */
+    @Example
+    fun totalsFromBeforeTheStartOnlySetTheBaseline() {
+        grants.startEmpty(nowMs = 50_000)
+        assertThat(change("hub", mapOf("a" to 9_000L), nowMs = 50_100, ageMs = 20_000)).isEmpty()
+        val later = change("hub", mapOf("a" to 9_100L), nowMs = 50_200, ageMs = 20_100)
+        assertThat(later["a"]).isEqualTo(100)
+    }
+
     /** Guards against units that stay charged although they were refunded. */
     @Example
     fun primaryReturnsWhatWasRefunded() {
@@ -37,7 +55,11 @@
         assertThat(change("hub", mapOf("a" to 20L))["a"]).isEqualTo(-30)
     }
 
-    private fun change(from: String, totals: Map<String, Long>, isPrimary: Boolean = true) =
-        grants.onTotals(from, totals, 0, isPrimary, Long.MAX_VALUE, hasJustStarted = false)
-            .filterValues { it != 0L }
+    private fun change(
+        from: String,
+        totals: Map<String, Long>,
+        isPrimary: Boolean = true,
+        nowMs: Long = 0,
+        ageMs: Long = Long.MAX_VALUE
+    ) = grants.onTotals(from, totals, nowMs, isPrimary, ageMs).filterValues { it != 0L }
 }
