Tell the members to every peer that knows few of them

A host that had started took itself for the aggregator for up to 2.6 s and refused accounts within their quota, as it knew one peer only. Only the first probe of a new peer was answered with all members; if that datagram was lost, or the peer was known by a rumor before it, the newcomer learned the others one by one.

A probe now states how many members its sender knows, and each acknowledgement names the members to a sender that knows at most half as many.

The new test of MembershipProperties loses the first reply. The product's own entry has the same path.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/Membership.kt
@@ -78,7 +78,7 @@
         removeExpiredDead(nowMs)
         return (unacknowledgedSinceMs.keys + nextToProbe()).map { id ->
             unacknowledgedSinceMs.putIfAbsent(id, nowMs)
-            OutgoingProbe(id, Probe(self, rumorsToSend()))
+            OutgoingProbe(id, probeWith(rumorsToSend()))
         }
     }
 
@@ -86,22 +86,28 @@
      * Handles a probe from a peer and returns the acknowledgement to send back.
      *
      * If the sender is known here in another state than it announces, the acknowledgement includes
-     * that state, so that the sender can refute it. A sender that is not known yet has just
+     * that state, so that the sender can refute it. A sender that knows few of the members has just
      * started; the acknowledgement tells it the members, or some of them in a large cluster.
      */
     public fun onProbe(probe: Probe): Probe {
         val sender = probe.sender
-        val isNew = sender.id !in members
+        val knowsFew = probe.memberCount * KNOWS_FEW_FACTOR <= liveCount()
         apply(sender)
         probe.rumors.forEach { apply(it) }
         val view = members[sender.id]
         if (view != null && view.state != sender.state) rumors[sender.id] = 0
-        return Probe(
-            self,
-            rumorsToSend(sender.id) + if (isNew) membersForNewcomer() else emptyList()
+        return probeWith(
+            rumorsToSend(sender.id) + if (knowsFew) membersForNewcomer() else emptyList()
         )
     }
 
+    /** Returns the probe for an address at which a peer may run that is not known yet. */
+    public fun probeOfUnknown(): Probe = probeWith(emptyList())
+
+    private fun probeWith(rumors: List<Member>) = Probe(self, rumors, liveCount())
+
+    private fun liveCount(): Int = members.values.count { it.state != MemberState.DEAD }
+
     private fun membersForNewcomer(): List<Member> =
         members.values.filter { it.state != MemberState.DEAD && it.id != self.id }
             .shuffled(random).take(MAX_MEMBERS_FOR_NEWCOMER)
@@ -234,7 +240,9 @@
     @Serializable
     public data class Probe(
         @CborLabel(1) val sender: Member,
-        @CborLabel(2) val rumors: List<Member>
+        @CborLabel(2) val rumors: List<Member>,
+        /** How many members the sender knows that are not dead, itself included. */
+        @CborLabel(3) val memberCount: Int = 1
     )
 
     /** A [probe] to be sent to the node [to]. */
@@ -243,6 +251,9 @@
     private companion object {
         const val MAX_RUMORS_PER_MESSAGE = 6
 
+        /** A member that knows fewer than this part of the members is told all of them. */
+        const val KNOWS_FEW_FACTOR = 2
+
         /** Some 10 KB; in a larger cluster the newcomer learns the others from rumors. */
         const val MAX_MEMBERS_FOR_NEWCOMER = 100
         const val MAX_RUMOR_TRANSMISSIONS = 12
--- a/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/MembershipProperties.kt
+++ b/bronzetide-coordination/src/test/kotlin/org/bronzetide/coordination/MembershipProperties.kt
@@ -89,6 +89,20 @@
         check(node.view().single { it.id == member.id }.state == MemberState.ALIVE)
     }
 
+    /** Guards against a node that starts and knows one peer only, because one reply was lost. */
+    @Example
+    fun `a node whose first reply is lost learns all members from the next one`() {
+        val clock = ManualClock()
+        val members = List(8) { Member(NodeId("n$it"), "z", "h", it, 1, MemberState.ALIVE) }
+        val peer = Membership(members[0], clock, Random(1))
+        peer.learn(members.drop(1))
+        val newcomer = Membership(members[0].copy(id = NodeId("new")), clock, Random(2))
+        peer.onProbe(newcomer.probeOfUnknown())
+        newcomer.onAck(peer.onProbe(newcomer.probeOfUnknown()))
+        check(newcomer.view().size == 9) { "${newcomer.view()}" }
+        check(peer.onProbe(newcomer.probeOfUnknown()).rumors.size < 8)
+    }
+
     private class SimulatedCluster(private val random: Random, size: Int) {
         private val clock = ManualClock()
         val unresponsive = HashSet<Int>()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -159,8 +159,8 @@
         val known = membership.view().filter { it.state != MemberState.DEAD }
             .map { it.host }.toSet()
         seeds.map { it.host }.filter { it !in known && it != settings.ip }.forEach { seed ->
-            val probe = Membership.Probe(membership.self, emptyList())
-            env.send(addressOf(seed), PeerMessage.Probe(probe, false, env.manifestVersion()))
+            val probe = PeerMessage.Probe(membership.probeOfUnknown(), false, env.manifestVersion())
+            env.send(addressOf(seed), probe)
         }
         if (membership.version != before) logView()
     }
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Cluster.kt
@@ -198,7 +198,7 @@
             .map { PeerAddress(it.host, it.peerPort) }.toSet()
         val undiscovered = view.hosts.nodes.map { PeerAddress(it.host, it.peerPort) }
             .filter { it !in known }
-        val hello = Membership.Probe(membership.self, emptyList())
+        val hello = membership.probeOfUnknown()
         undiscovered.shuffled().take(MAX_DISCOVERY_PROBES).forEach {
             peers.send(it, PeerMessage.ProbeMessage(hello, versions))
         }
