Estimate what the others have granted since their last totals

For two exchanges each host still counted its knowledge as current and refilled its copy of the bucket at the whole rate, so 72 hosts spent the refill 72 times; then each overdrew its share by one request, though the account had nothing left. And a host without totals refilled by its share only, so grants that it learned of later were deducted from units that it never had.

Now what the others have granted since their last totals is estimated by their recent rate, or by this host's own grants. A bucket's level always grows in full, and a lease holds what may be spent without the others' totals; one request may overdraw it only while the account is far below its quota.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
@@ -64,6 +64,18 @@
         assertThatGrantsAreWithinTheBound()
     }
 
+    /** Guards against a flooding account's whole refill being spent by each of many hosts. */
+    @Property(tries = 20)
+    fun floodThroughTheLossOfAggregatorAndBackupStaysWithinItsBound(@ForAll seed: Long) {
+        startMany(seed)
+        flood(4_000)
+        val serving = hosts.filter { it.isAggregator() || it.isBackup() }
+        val isolated = serving + (hosts - serving.toSet()).take(hosts.size / 4 - serving.size)
+        isolated.forEach { it.isIsolated = true }
+        flood(9_000)
+        assertThatGrantsAreWithinTheBound()
+    }
+
     /** Guards against a host that starts and charges accounts for all grants of the past. */
     @Property(tries = 10)
     fun accountWithinItsQuotaIsServedByAHostThatStartsLater(@ForAll seed: Long) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -14,6 +14,7 @@
  */
 public class QuotaLimiter {
     private val recentGrants = HashMap<String, SlidingWindowCounter>()
+    private val recentPeerGrants = HashMap<String, SlidingWindowCounter>()
     private val buckets = HashMap<String, Bucket>()
     private val ownTotals = HashMap<String, Long>()
     private val peerGrants = PeerGrants()
@@ -42,21 +43,49 @@
     public fun updateKnowledge(changed: PeerKnowledge, nowMs: Long) {
         val before = knowledge
         if (changed == before) return
-        buckets.values.forEach { it.refill(nowMs, before.rateShare) }
-        if (changed is PeerKnowledge.Unknown && before is PeerKnowledge.Current) keepShare(changed)
+        buckets.forEach { (account, bucket) ->
+            bucket.refill(nowMs, before)
+            when {
+                changed is PeerKnowledge.Unknown ->
+                    if (before is PeerKnowledge.Current) {
+                        bucket.lease = initialLease(account, bucket, changed, nowMs)
+                    }
+
+                // What the others granted by themselves is deducted from the level by now.
+                before is PeerKnowledge.Unknown || changed.rateShare >= 1 ->
+                    bucket.lease = bucket.level
+            }
+        }
         knowledge = changed
     }
 
+    /** This host's share of what is likely left of [bucket] when totals stop to arrive. */
+    private fun initialLease(
+        account: String,
+        bucket: Bucket,
+        unknown: PeerKnowledge.Unknown,
+        nowMs: Long
+    ): Double {
+        val left = bucket.spendable - unreportedByPeers(account, bucket, nowMs, unknown)
+        return left.coerceAtLeast(0.0) * unknown.rateShare
+    }
+
     /**
-     * Leaves of each bucket this host's share. What the others have granted since the last update
-     * is estimated by what this host has: a flood reaches all of them.
+     * Estimates what the others have granted since their last totals: as much as before, or, while
+     * they are unknown ([assumed]), as much as this host has if that is more, as a flood reaches
+     * all of them. Its last request alone is no sign of a flood.
      */
-    private fun keepShare(unknown: PeerKnowledge.Unknown) {
-        buckets.filterValues { it.level > 0 }.forEach { (account, bucket) ->
-            val own = (ownTotals[account] ?: 0) - (totalsAtLastUpdate[account] ?: 0)
-            val left = bucket.level - own.coerceAtLeast(0) * (unknown.hostCount - 1)
-            bucket.level = left.coerceAtLeast(0.0) * unknown.rateShare
-        }
+    private fun unreportedByPeers(
+        account: String,
+        bucket: Bucket,
+        nowMs: Long,
+        assumed: PeerKnowledge = knowledge
+    ): Double {
+        val perSecond = recentPeerGrants[account]?.recentRate(lastUpdateAtMs) ?: 0.0
+        val usual = perSecond * (nowMs - lastUpdateAtMs).coerceAtLeast(0) / MS_PER_S
+        if (assumed !is PeerKnowledge.Unknown) return usual
+        val own = (ownTotals[account] ?: 0) - (totalsAtLastUpdate[account] ?: 0)
+        return maxOf(usual, (own - bucket.lastUnits).toDouble() * (assumed.hostCount - 1))
     }
 
     /**
@@ -81,31 +110,51 @@
         val slackPerSecond = (slack - unreported).coerceAtLeast(0.0) / SlidingWindowCounter.WINDOW_S
         val perSecond = quotaPerSecond + slackPerSecond
         val bucket = buckets.getOrPut(account) {
-            Bucket(perSecond, burst, nowMs, initialLevel(granted, quotaPerSecond, burst, nowMs))
+            val level = initialLevel(granted, quotaPerSecond, burst, nowMs)
+            val isCurrent = knowledge is PeerKnowledge.Current
+            val lease = if (isCurrent) level else level.coerceAtLeast(0.0) * knowledge.rateShare
+            Bucket(perSecond, burst, nowMs, level, lease)
         }
         bucket.resize(perSecond, burst)
-        bucket.refill(nowMs, knowledge.rateShare)
-        val needed = when (knowledge) {
-            is PeerKnowledge.Current -> minOf(units.toDouble(), burst)
-
-            // A share is less than most requests; one of them may overdraw it.
-            is PeerKnowledge.Unknown ->
-                minOf(units.toDouble(), burst * knowledge.rateShare * MIN_SHARE_LEFT)
-        }
-        if (bucket.level < needed) {
-            val unitsPerMs = perSecond * knowledge.rateShare / MS_PER_S
-            return ((needed - bucket.level) / unitsPerMs).toLong() + 1
+        bucket.refill(nowMs, knowledge)
+        val needed = minOf(units.toDouble(), burst)
+        val waitMs = waitMs(account, bucket, needed, nowMs)
+        if (waitMs > 0) {
+            bucket.wanted = needed
+            return waitMs
         }
+        bucket.wanted = 0.0
+        bucket.lastUnits = units
         bucket.level -= units
+        bucket.lease -= units
         granted.add(units, nowMs)
         ownTotals.merge(account, units, Long::plus)
         return null
     }
 
+    /** The time until [needed] units may be spent, in milliseconds, or 0 if they may be now. */
+    private fun waitMs(account: String, bucket: Bucket, needed: Double, nowMs: Long): Long {
+        val unreported = unreportedByPeers(account, bucket, nowMs)
+        val missing = when (val known = knowledge) {
+            is PeerKnowledge.Current -> needed - (bucket.spendable - unreported)
+
+            is PeerKnowledge.Unknown -> {
+                // A share is less than most requests; one of them may overdraw it while the
+                // account is far below its quota.
+                val canOverdraw = bucket.level - unreported >= needed
+                val share = bucket.burst * known.rateShare * MIN_SHARE_LEFT
+                (if (canOverdraw) minOf(needed, share) else needed) - bucket.lease
+            }
+        }
+        if (missing <= 0) return 0
+        return (missing * MS_PER_S / (bucket.perSecond * knowledge.rateShare)).toLong() + 1
+    }
+
     /** Refunds [units] to the quota of [account], for a request that no target ran. */
     public fun refund(account: String, units: Long) {
         val bucket = buckets[account] ?: return
         bucket.level = minOf(bucket.burst, bucket.level + units)
+        bucket.lease = minOf(bucket.burst, bucket.lease + units)
         ownTotals.merge(account, -units, Long::plus)
     }
 
@@ -147,7 +196,8 @@
             .filterValues { it != 0L }
             .forEach { (account, units) ->
                 recentGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
-                buckets[account]?.consumeForPeers(units, nowMs, knowledge.rateShare)
+                recentPeerGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
+                buckets[account]?.consumeForPeers(units, nowMs, knowledge)
             }
     }
 
@@ -159,7 +209,7 @@
         nowMs: Long
     ): Double {
         val started = startedAtMs
-        val level = if (started != null) {
+        return if (started != null) {
             granted.bucketLevel(perSecond, burst, startMs = started, nowMs)
         } else {
             // Starts with half of the burst, as other hosts may have granted the rest, or with
@@ -167,8 +217,6 @@
             val unspent = burst + perSecond * SlidingWindowCounter.WINDOW_S - granted.sum(nowMs)
             minOf(unspent, burst * INITIAL_BURST_SHARE)
         }
-        val isUnknown = knowledge is PeerKnowledge.Unknown
-        return if (isUnknown && level > 0) level * knowledge.rateShare else level
     }
 
     /** This host's copy of an account's bucket, and what it is based on. */
@@ -186,26 +234,46 @@
         var perSecond: Double,
         var burst: Double,
         private var updatedAtMs: Long,
-        var level: Double
+        /** What the known grants of all hosts leave of the quota. */
+        var level: Double,
+        /** What is left for this host while some of the others, or all, grant unknown amounts. */
+        var lease: Double
     ) {
+        /** The units of the last request if it was refused. The lease may grow up to them. */
+        var wanted = 0.0
+
+        /** The units of the last request that was granted. */
+        var lastUnits = 0L
+
+        /** What this host may spend while it knows the grants of all others that report. */
+        val spendable: Double get() = minOf(level, lease)
+
         fun resize(perSecond: Double, burst: Double) {
             this.perSecond = perSecond
             this.burst = burst
             level = minOf(level, burst)
+            lease = minOf(lease, burst)
         }
 
         /** Deducts [units] granted by peers, which may leave a debt. */
-        fun consumeForPeers(units: Long, nowMs: Long, rateShare: Double) {
+        fun consumeForPeers(units: Long, nowMs: Long, knowledge: PeerKnowledge) {
             // Refills first: after a long gap, the debt limit could otherwise cut off some units.
-            refill(nowMs, rateShare)
+            refill(nowMs, knowledge)
             val maxDebt = burst + perSecond * MAX_DEBT_S
             level = (level - units).coerceIn(-maxDebt, burst)
+            lease = (lease - units).coerceIn(-maxDebt, burst)
         }
 
-        fun refill(nowMs: Long, rateShare: Double) {
-            val elapsedMs = (nowMs - updatedAtMs).coerceAtLeast(0)
-            level = minOf(burst, level + elapsedMs * perSecond * rateShare / MS_PER_S)
+        fun refill(nowMs: Long, knowledge: PeerKnowledge) {
+            val refilled = (nowMs - updatedAtMs).coerceAtLeast(0) * perSecond / MS_PER_S
             updatedAtMs = nowMs
+            // Grows in full, as grants that are unknown now are deducted once they are known.
+            level = minOf(burst, level + refilled)
+            val most = when (knowledge) {
+                is PeerKnowledge.Current -> burst
+                is PeerKnowledge.Unknown -> maxOf(burst * knowledge.rateShare, wanted)
+            }
+            lease = maxOf(lease, minOf(most, lease + refilled * knowledge.rateShare))
         }
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
@@ -17,6 +17,16 @@
         return units.max().coerceAtLeast(0) * MS_PER_S / BUCKET_MS
     }
 
+    /** The average rate of the last second, in units per second. */
+    fun recentRate(nowMs: Long): Double {
+        advanceTo(nowMs / BUCKET_MS)
+        val sum = (newestBucket downTo maxOf(0, newestBucket - RECENT_BUCKETS))
+            .sumOf { units[(it % BUCKETS).toInt()] }
+        // The newest bucket is not complete.
+        val durationMs = RECENT_BUCKETS * BUCKET_MS + nowMs % BUCKET_MS
+        return sum.coerceAtLeast(0) * MS_PER_S / durationMs
+    }
+
     /** The units in the whole window. */
     fun sum(nowMs: Long): Long {
         advanceTo(nowMs / BUCKET_MS)
@@ -53,6 +63,7 @@
 
         /** Longer than the period of updates from peers, so that a bucket holds whole updates. */
         private const val BUCKET_MS = 250L
+        private const val RECENT_BUCKETS = 4
         private const val MS_PER_S = 1_000.0
         private const val BUCKETS = WINDOW_S * 4
     }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -31,6 +31,38 @@
         assertThat(quotas.tryConsume("a", 100.0, 100.0, 10, 0)).isNotNull()
     }
 
+    /** Guards against a refill that each host spends because the others' grants arrive late. */
+    @Example
+    fun refillThatTheOthersLikelySpentIsNotGrantedWhileTotalsAreLate() {
+        val quotas = QuotaLimiter()
+        quotas.tryConsume("a", 1_000.0, 1_000.0, 500, 0)
+        for (atMs in 0L..2_000 step 100) quotas.onPeerTotals("hub", mapOf("a" to atMs), atMs)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 300, 2_500)).isNotNull()
+    }
+
+    /** Guards against accounts that stay refused after the others' grants are known again. */
+    @Example
+    fun refillOfTheTimeWithoutTotalsIsKept() {
+        val quotas = QuotaLimiter()
+        quotas.onPeerTotals("hub", mapOf("a" to 0L), 0)
+        quotas.tryConsume("a", 1_000.0, 1_000.0, 1_000, 0)
+        quotas.updateKnowledge(PeerKnowledge.Unknown(hostCount = 10), 100)
+        quotas.onPeerTotals("hub", mapOf("a" to 400L), 900)
+        quotas.updateKnowledge(PeerKnowledge.Current(), 900)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 450, 900)).isNull()
+    }
+
+    /** Guards against accounts far below their quota that are refused while totals are late. */
+    @Example
+    fun accountFarBelowItsQuotaIsServedWhileTotalsAreLate() {
+        val quotas = QuotaLimiter()
+        quotas.tryConsume("a", 1_000.0, 1_000.0, 10, 0)
+        for (atMs in 0L..2_000 step 100) quotas.onPeerTotals("hub", mapOf("a" to atMs / 5), atMs)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 300, 2_500)).isNull()
+        quotas.updateKnowledge(PeerKnowledge.Unknown(hostCount = 10), 2_600)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 100, 5_000)).isNull()
+    }
+
     /** An account floods all hosts, which learn of each other late and lose some updates. */
     @Property(tries = 50)
     fun sumOverAllHostsStaysNearTheQuota(@ForAll seed: Long) {
