Take the number of reporting hosts from the primary aggregator only

After a partition hosts refilled at a few hundredths of their quota for seconds: each summary sets the share by the number of hosts that report to its sender, and one or two of them still report to a backup that the others have left. Its totals alternate with the primary's.

It has no test of its own yet: the hosts in the simulated network agree before the share matters to a bound.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -58,7 +58,10 @@
         val sharing = hostCount(nowMs).coerceAtLeast(reportingCount)
         val hasPeers = reportingCount > 1 && reportingCount * 2 >= sharing
         isJoined = isJoined || hasPeers || nowMs - startedAtMs >= JOIN_TIMEOUT_MS
-        if (isJoined) change(PeerKnowledge.Current(reportingCount.toDouble() / sharing), nowMs)
+        // Fewer hosts report to the backup while some of them have chosen another one.
+        if (isJoined && (isPrimary || quotas.knowledge is PeerKnowledge.Unknown)) {
+            change(PeerKnowledge.Current(reportingCount.toDouble() / sharing), nowMs)
+        }
     }
 
     /** Lowers what may be spent if no totals have arrived for too long. */
