Keep the rule for what may be spent of a quota in QuotaBucket, and log its inputs

A line on an account near its quota did not tell why a host without the others' totals granted or refused: it lacked the lease and the estimate of what the others granted.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -48,11 +48,12 @@
         nowMs: Long
     ) {
         val state = limiter.stateOf(account, nowMs) ?: return
-        if (state.level > state.burst * LOGGED_LEVEL_SHARE) return
+        if (state.left > state.burst * LOGGED_LEVEL_SHARE) return
         log.request(
             "near quota", requestId, "account" to account, "units" to units,
             "granted" to isGranted,
-            "level" to state.level.toLong(), "burst" to state.burst.toLong(),
+            "level" to state.level.toLong(), "lease" to state.lease.toLong(),
+            "unreported" to state.unreported.toLong(), "burst" to state.burst.toLong(),
             "rateShare" to state.knowledge.rateShare, "updateAgeMs" to state.updateAgeMs,
             "updateFrom" to state.source
         )
--- /dev/null
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -0,0 +1,117 @@
+package org.bronzetide.scheduling.fleet
+
+/**
+ * One host's copy of an account's token bucket, and the rule for what the host may spend of it.
+ *
+ * While the grants of the others are known, that is all that the level leaves after the grants that
+ * are estimated but not reported yet. While they are unknown it is the lease: the host's share of
+ * what was left when totals stopped to arrive, and of the refill since. Single-threaded.
+ */
+internal class QuotaBucket(
+    perSecond: Double,
+    burst: Double,
+    private var updatedAtMs: Long,
+    level: Double,
+    /** What is left for this host while some of the others, or all, grant unknown amounts. */
+    var lease: Double
+) {
+    /** The units by which it is refilled in a second. */
+    var perSecond = perSecond
+        private set
+
+    /** The most that it holds. */
+    var burst = burst
+        private set
+
+    /** What the known grants of all hosts leave of the quota. */
+    var level = level
+        private set
+
+    /** The units of the last request that was granted. */
+    var lastUnits = 0L
+        private set
+
+    /** The units of the last request if it was refused. The lease may grow up to them. */
+    private var wanted = 0.0
+
+    /** What this host may spend while it knows the grants of all others that report. */
+    val spendable: Double get() = minOf(level, lease)
+
+    /** Changes the quota. What was spent of the earlier one stays spent. */
+    fun resize(perSecond: Double, burst: Double) {
+        this.perSecond = perSecond
+        this.burst = burst
+        level = minOf(level, burst)
+        lease = minOf(lease, burst)
+    }
+
+    /**
+     * The time until [needed] units may be spent, in milliseconds, or 0 if they may be now. The
+     * others have likely granted [unreported] units that are not deducted yet.
+     */
+    fun waitMs(needed: Double, unreported: Double, knowledge: PeerKnowledge): Long {
+        val missing = when (knowledge) {
+            is PeerKnowledge.Current -> needed - (spendable - unreported)
+
+            is PeerKnowledge.Unknown -> {
+                // A share is less than most requests; one of them may overdraw it while the
+                // account is far below its quota.
+                val canOverdraw = level - unreported >= needed
+                val share = burst * knowledge.rateShare * MIN_SHARE_LEFT
+                (if (canOverdraw) minOf(needed, share) else needed) - lease
+            }
+        }
+        if (missing <= 0) return 0
+        return (missing * MS_PER_S / (perSecond * knowledge.rateShare)).toLong() + 1
+    }
+
+    /** Lets the lease grow up to the [needed] units of a request that was refused. */
+    fun onRefused(needed: Double) {
+        wanted = needed
+    }
+
+    /** Deducts the [units] of a request that is granted. */
+    fun consume(units: Long) {
+        level -= units
+        lease -= units
+        lastUnits = units
+        wanted = 0.0
+    }
+
+    /** Returns the [units] of a request that no target ran. */
+    fun refund(units: Long) {
+        level = minOf(burst, level + units)
+        lease = minOf(burst, lease + units)
+    }
+
+    /** Deducts [units] granted by peers, which may leave a debt. */
+    fun consumeForPeers(units: Long, nowMs: Long, knowledge: PeerKnowledge) {
+        // Refills first: after a long gap, the debt limit could otherwise cut off some units.
+        refill(nowMs, knowledge)
+        val maxDebt = burst + perSecond * MAX_DEBT_S
+        level = (level - units).coerceIn(-maxDebt, burst)
+        lease = (lease - units).coerceIn(-maxDebt, burst)
+    }
+
+    /** Adds the units of the time since the last call, given the [knowledge] in that time. */
+    fun refill(nowMs: Long, knowledge: PeerKnowledge) {
+        val refilled = (nowMs - updatedAtMs).coerceAtLeast(0) * perSecond / MS_PER_S
+        updatedAtMs = nowMs
+        // Grows in full, as grants that are unknown now are deducted once they are known.
+        level = minOf(burst, level + refilled)
+        val most = when (knowledge) {
+            is PeerKnowledge.Current -> burst
+            is PeerKnowledge.Unknown -> maxOf(burst * knowledge.rateShare, wanted)
+        }
+        lease = maxOf(lease, minOf(most, lease + refilled * knowledge.rateShare))
+    }
+
+    private companion object {
+        /** The part of a full share that must be left for a request that overdraws it. */
+        const val MIN_SHARE_LEFT = 0.5
+
+        /** Half of the quota window, as older grants soon fall out of it. */
+        const val MAX_DEBT_S = 4
+        const val MS_PER_S = 1_000.0
+    }
+}
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -4,9 +4,10 @@
  * Enforces the quotas of client accounts, each of which is shared by all hosts.
  *
  * Every host keeps a copy of each account's token bucket. It deducts its own grants at once, and
- * those of the other hosts when it receives their totals. What it may spend of its copy follows
- * from its [PeerKnowledge]: all while the grants of the others are known, and otherwise its share,
- * so that the sum over all hosts stays near the quota.
+ * those of the other hosts when it receives their totals; until then it estimates them. What it may
+ * spend follows from its [PeerKnowledge]: all that is left of its copy while the grants of the
+ * others are known, and otherwise a lease, its share of that, so that the sum over all hosts stays
+ * near the quota.
  *
  * Units that hosts grant before they learn of each other's grants exceed the quota. The peak
  * rate of recent grants times the propagation delay is therefore withheld from the allowed slack.
@@ -15,7 +16,7 @@
 public class QuotaLimiter {
     private val recentGrants = HashMap<String, SlidingWindowCounter>()
     private val recentPeerGrants = HashMap<String, SlidingWindowCounter>()
-    private val buckets = HashMap<String, Bucket>()
+    private val buckets = HashMap<String, QuotaBucket>()
     private val ownTotals = HashMap<String, Long>()
     private val peerGrants = PeerGrants()
     private var reportedTotals: Map<String, Long> = emptyMap()
@@ -62,7 +63,7 @@
     /** This host's share of what is likely left of [bucket] when totals stop to arrive. */
     private fun initialLease(
         account: String,
-        bucket: Bucket,
+        bucket: QuotaBucket,
         unknown: PeerKnowledge.Unknown,
         nowMs: Long
     ): Double {
@@ -77,7 +78,7 @@
      */
     private fun unreportedByPeers(
         account: String,
-        bucket: Bucket,
+        bucket: QuotaBucket,
         nowMs: Long,
         assumed: PeerKnowledge = knowledge
     ): Double {
@@ -113,48 +114,26 @@
             val level = initialLevel(granted, quotaPerSecond, burst, nowMs)
             val isCurrent = knowledge is PeerKnowledge.Current
             val lease = if (isCurrent) level else level.coerceAtLeast(0.0) * knowledge.rateShare
-            Bucket(perSecond, burst, nowMs, level, lease)
+            QuotaBucket(perSecond, burst, nowMs, level, lease)
         }
         bucket.resize(perSecond, burst)
         bucket.refill(nowMs, knowledge)
         val needed = minOf(units.toDouble(), burst)
-        val waitMs = waitMs(account, bucket, needed, nowMs)
+        val waitMs = bucket.waitMs(needed, unreportedByPeers(account, bucket, nowMs), knowledge)
         if (waitMs > 0) {
-            bucket.wanted = needed
+            bucket.onRefused(needed)
             return waitMs
         }
-        bucket.wanted = 0.0
-        bucket.lastUnits = units
-        bucket.level -= units
-        bucket.lease -= units
+        bucket.consume(units)
         granted.add(units, nowMs)
         ownTotals.merge(account, units, Long::plus)
         return null
     }
 
-    /** The time until [needed] units may be spent, in milliseconds, or 0 if they may be now. */
-    private fun waitMs(account: String, bucket: Bucket, needed: Double, nowMs: Long): Long {
-        val unreported = unreportedByPeers(account, bucket, nowMs)
-        val missing = when (val known = knowledge) {
-            is PeerKnowledge.Current -> needed - (bucket.spendable - unreported)
-
-            is PeerKnowledge.Unknown -> {
-                // A share is less than most requests; one of them may overdraw it while the
-                // account is far below its quota.
-                val canOverdraw = bucket.level - unreported >= needed
-                val share = bucket.burst * known.rateShare * MIN_SHARE_LEFT
-                (if (canOverdraw) minOf(needed, share) else needed) - bucket.lease
-            }
-        }
-        if (missing <= 0) return 0
-        return (missing * MS_PER_S / (bucket.perSecond * knowledge.rateShare)).toLong() + 1
-    }
-
     /** Refunds [units] to the quota of [account], for a request that no target ran. */
     public fun refund(account: String, units: Long) {
         val bucket = buckets[account] ?: return
-        bucket.level = minOf(bucket.burst, bucket.level + units)
-        bucket.lease = minOf(bucket.burst, bucket.lease + units)
+        bucket.refund(units)
         ownTotals.merge(account, -units, Long::plus)
     }
 
@@ -169,7 +148,9 @@
 
     /** The state on which decisions about [account] are based, or `null` if there were none. */
     public fun stateOf(account: String, nowMs: Long): State? = buckets[account]?.let {
-        State(it.level, it.burst, knowledge, nowMs - lastUpdateAtMs, lastSource)
+        val unreported = unreportedByPeers(account, it, nowMs)
+        val ageMs = nowMs - lastUpdateAtMs
+        State(it.level, it.lease, unreported, it.burst, knowledge, ageMs, lastSource)
     }
 
     /** The units above which grants of [account] are announced early, or `null` if unknown. */
@@ -222,72 +203,27 @@
     /** This host's copy of an account's bucket, and what it is based on. */
     public data class State(
         val level: Double,
+        /** What this host may spend while the grants of the others are unknown. */
+        val lease: Double,
+        /** The estimate of what the others have granted since their last totals. */
+        val unreported: Double,
         val burst: Double,
         val knowledge: PeerKnowledge,
         /** The time since the last totals of the other hosts, in milliseconds. */
         val updateAgeMs: Long,
         /** The host that sent them, or `null` if there were none. */
         val source: String?
-    )
-
-    private class Bucket(
-        var perSecond: Double,
-        var burst: Double,
-        private var updatedAtMs: Long,
-        /** What the known grants of all hosts leave of the quota. */
-        var level: Double,
-        /** What is left for this host while some of the others, or all, grant unknown amounts. */
-        var lease: Double
     ) {
-        /** The units of the last request if it was refused. The lease may grow up to them. */
-        var wanted = 0.0
-
-        /** The units of the last request that was granted. */
-        var lastUnits = 0L
-
-        /** What this host may spend while it knows the grants of all others that report. */
-        val spendable: Double get() = minOf(level, lease)
-
-        fun resize(perSecond: Double, burst: Double) {
-            this.perSecond = perSecond
-            this.burst = burst
-            level = minOf(level, burst)
-            lease = minOf(lease, burst)
-        }
-
-        /** Deducts [units] granted by peers, which may leave a debt. */
-        fun consumeForPeers(units: Long, nowMs: Long, knowledge: PeerKnowledge) {
-            // Refills first: after a long gap, the debt limit could otherwise cut off some units.
-            refill(nowMs, knowledge)
-            val maxDebt = burst + perSecond * MAX_DEBT_S
-            level = (level - units).coerceIn(-maxDebt, burst)
-            lease = (lease - units).coerceIn(-maxDebt, burst)
-        }
-
-        fun refill(nowMs: Long, knowledge: PeerKnowledge) {
-            val refilled = (nowMs - updatedAtMs).coerceAtLeast(0) * perSecond / MS_PER_S
-            updatedAtMs = nowMs
-            // Grows in full, as grants that are unknown now are deducted once they are known.
-            level = minOf(burst, level + refilled)
-            val most = when (knowledge) {
-                is PeerKnowledge.Current -> burst
-                is PeerKnowledge.Unknown -> maxOf(burst * knowledge.rateShare, wanted)
-            }
-            lease = maxOf(lease, minOf(most, lease + refilled * knowledge.rateShare))
-        }
+        /** What is likely left of the quota for all hosts. */
+        val left: Double get() = level - unreported
     }
 
     private companion object {
         const val INITIAL_BURST_SHARE = 0.5
 
-        /** The part of a full share that must be left for a request that overdraws it. */
-        const val MIN_SHARE_LEFT = 0.5
-
         /** A tenth of what a flood may take at once; such grants are rare below the quota. */
         const val ANNOUNCED_SHARE = 0.1
 
-        /** Half of the quota window, as older grants soon fall out of it. */
-        const val MAX_DEBT_S = 4
         const val MS_PER_S = 1_000.0
     }
 }
