Forget estimated grants that a whole bucket's refill has covered

An account far below its quota was refused on a host that stayed isolated for longer than a bucket takes to fill: the estimate of what the others grant grew for as long as no totals came, while the level ends at the burst.

accountFarBelowItsQuotaIsServedOnAHostThatStaysIsolated fails without the change.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -37,6 +37,9 @@
     /** What this host may spend while it knows the grants of all others that report. */
     val spendable: Double get() = minOf(level, lease)
 
+    /** The time in which an empty bucket is filled, in milliseconds. */
+    val fillTimeMs: Long get() = (burst / perSecond * MS_PER_S).toLong()
+
     /** Changes the quota. What was spent of the earlier one stays spent. */
     fun resize(perSecond: Double, burst: Double) {
         this.perSecond = perSecond
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -83,7 +83,9 @@
         assumed: PeerKnowledge = knowledge
     ): Double {
         val perSecond = recentPeerGrants[account]?.recentRate(lastUpdateAtMs) ?: 0.0
-        val usual = perSecond * (nowMs - lastUpdateAtMs).coerceAtLeast(0) / MS_PER_S
+        // What was granted longer ago than a whole bucket takes to fill has been refilled since.
+        val sinceMs = (nowMs - lastUpdateAtMs).coerceIn(0, bucket.fillTimeMs)
+        val usual = perSecond * sinceMs / MS_PER_S
         if (assumed !is PeerKnowledge.Unknown) return usual
         val own = (ownTotals[account] ?: 0) - (totalsAtLastUpdate[account] ?: 0)
         return maxOf(usual, (own - bucket.lastUnits).toDouble() * (assumed.hostCount - 1))
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -63,6 +63,17 @@
         assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 100, 5_000)).isNull()
     }
 
+    /** Guards against the same on a host that is isolated for longer than a bucket takes to fill. */
+    @Example
+    fun accountFarBelowItsQuotaIsServedOnAHostThatStaysIsolated() {
+        val quotas = QuotaLimiter()
+        quotas.tryConsume("a", 1_000.0, 1_000.0, 10, 0)
+        for (atMs in 0L..2_000 step 100) quotas.onPeerTotals("hub", mapOf("a" to atMs / 5), atMs)
+        quotas.updateKnowledge(PeerKnowledge.Unknown(hostCount = 10), 2_300)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 300, 20_000)).isNull()
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 300, 30_000)).isNull()
+    }
+
     /** An account floods all hosts, which learn of each other late and lose some updates. */
     @Property(tries = 50)
     fun sumOverAllHostsStaysNearTheQuota(@ForAll seed: Long) {
