--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -59,7 +59,8 @@
                 UNAUTHORIZED,
                 "unknown key",
                 priority = route.priority,
-                logFields = versionField + ("route" to route.name)
+                route = route.name,
+                logFields = versionField
             )
         }
         val priority = account?.priority ?: route.priority
@@ -68,7 +69,6 @@
         }
         if (account != null && retryAfterMs != null) {
             val logFields = versionField + listOf(
-                "account" to account.name,
                 "units" to unitsOf(metadata, account),
                 "quotaPerS" to account.quotaPerS
             )
@@ -77,6 +77,8 @@
                 "over quota",
                 retryAfterMs,
                 priority,
+                route.name,
+                account.name,
                 logFields
             )
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -19,6 +19,7 @@
 import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
+import org.bronzetide.edge.telemetry.SizeMetrics
 import org.bronzetide.http.BodyTooLargeException
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.HeadTooLargeException
@@ -179,7 +180,8 @@
         arrivedAtMs: Long,
         mayKeepAlive: Boolean = true
     ): Boolean {
-        val id = RequestMetadata.of(request.headers).requestId
+        val metadata = RequestMetadata.of(request.headers)
+        val id = metadata.requestId
         dependencies.log.request(
             "refused",
             id,
@@ -187,6 +189,9 @@
             "reason" to refusal.reason,
             "retryAfterMs" to refusal.retryAfterMs,
             "path" to request.path,
+            "route" to refusal.route,
+            "account" to refusal.account,
+            "promptTokens" to metadata.promptTokens,
             *refusal.logFields.toTypedArray()
         )
         val keepAlive =
@@ -195,6 +200,7 @@
         connection.send(refusal.status, headers + connectionHeader(keepAlive), ByteArray(0))
         val tookMs = dependencies.clock.nowMs() - arrivedAtMs
         dependencies.metrics.onRequestEnd(refusal.priority, refusal.status, refusal.reason, tookMs)
+        countBySize(refusal.route, refusal.account, metadata, SizeMetrics.Outcome.REFUSED)
         return keepAlive
     }
 
@@ -241,11 +247,30 @@
         dependencies.log.request(
             "ended", call.requestId, "status" to result.status, "reason" to result.reason,
             "notRun" to result.hasNotRun, "tookMs" to tookMs,
+            "route" to call.route.name, "account" to call.account?.name,
+            "promptTokens" to call.metadata.promptTokens,
             "firstEventMs" to result.stream?.let { it.firstEventAtMs - call.arrivedAtMs },
             "longestPauseMs" to result.stream?.longestPauseMs, "events" to result.stream?.eventCount
         )
         val reason = result.reason.substringBefore(':').substringBefore('(')
         dependencies.metrics.onRequestEnd(call.priority, result.status, reason, tookMs)
+        val outcome = when {
+            result.hasNotRun -> SizeMetrics.Outcome.REFUSED
+            result.isConnectionReusable && result.status < MIN_ERROR -> SizeMetrics.Outcome.SERVED
+            else -> SizeMetrics.Outcome.FAILED
+        }
+        countBySize(call.route.name, call.account?.name, call.metadata, outcome)
+    }
+
+    private fun countBySize(
+        route: String?,
+        account: String?,
+        metadata: RequestMetadata,
+        outcome: SizeMetrics.Outcome
+    ) {
+        val promptTokens = metadata.promptTokens
+        if (route == null || promptTokens == null) return
+        dependencies.metrics.sizes.onRequestEnd(route, account, promptTokens, outcome)
     }
 
     private suspend fun refuseAndClose(status: Int) {
@@ -260,6 +285,7 @@
         throw IOException("connection closed before the headers of a request were complete")
 
     private companion object {
+        const val MIN_ERROR = 400
         const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
@@ -55,6 +55,10 @@
         val reason: String,
         val retryAfterMs: Long? = null,
         val priority: Int? = null,
+        /** The name of the request's route, if one was found. */
+        val route: String? = null,
+        /** The name of the account, if one was found. */
+        val account: String? = null,
         /** The inputs of the decision, as fields for the log. */
         val logFields: List<Pair<String, Any?>> = emptyList()
     ) : Admission()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -12,6 +12,9 @@
 internal class EdgeMetrics {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
 
+    /** Ended requests by their size. */
+    val sizes = SizeMetrics(registry)
+
     /** Counts a finished request by priority, status and reason, and records its duration. */
     fun onRequestEnd(priority: Int?, status: Int, reason: String, durationMs: Long) {
         val tag = priority?.toString() ?: "none"
