Give breaks of a caller's connection a type of their own

Callers would see: a sound connection closed without an answer, as the session takes each IOException from the path of a request for the caller's own. Found by reading; not seen in a log.

Cause: the connection to a caller throws the same IOExceptions as those to targets, budgets and codecs, so that the catcher cannot tell them apart.

Change: CallerConnection and the bodies of its requests throw CallerConnectionException if the connection breaks. Malformed and too large messages keep their types.

Evidence: CallerConnectionTest (closed within the head, a counted and a chunked body, and while a response is written). The type is new, so there is no run of it on the old code.

--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -64,8 +64,15 @@
     throw MalformedMessageException("invalid $what: ${cause.message}")
 }
 
-/** Reads the body of one message from [input], part by part. */
-public class MessageBody(private val input: ByteReadChannel, private val framing: Framing) {
+/**
+ * Reads the body of one message from [input], part by part. Failures of the connection are thrown
+ * as [failure] maps them.
+ */
+public class MessageBody(
+    private val input: ByteReadChannel,
+    private val framing: Framing,
+    private val failure: (IOException) -> IOException = { it }
+) {
     private var remaining = (framing as? Framing.Length)?.bytes ?: 0L
     private var isInChunk = false
     private val buffer = ByteArray(BUFFER_BYTES)
@@ -84,10 +91,14 @@
      */
     public suspend fun readAvailable(): ByteArray? {
         if (isComplete) return null
-        return when (framing) {
-            is Framing.Length -> readCounted()?.also { isComplete = remaining == 0L }
-            is Framing.Chunked -> readChunked()
-            is Framing.UntilClose -> readToClose()
+        return try {
+            when (framing) {
+                is Framing.Length -> readCounted()?.also { isComplete = remaining == 0L }
+                is Framing.Chunked -> readChunked()
+                is Framing.UntilClose -> readToClose()
+            }
+        } catch (cause: IOException) {
+            throw failure(cause)
         }
     }
 
