End each request that was read exactly once, whatever is thrown in its path

Callers would see: a whole request whose connection is closed with neither an answer nor a refusal, and no log line with its id. One that could not be sent for such a failure waited for its time limit. The users' report (LOST beside a change of the configuration) was not reproduced; that this is what they met is not shown.

Cause: nothing guarded the path of a request. What admission, quota, scheduler, sending, relaying, finishing, refund, log or metrics threw ended the session in ConnectionAcceptor, which closed the connection; an IOException of any origin counted as the caller's and left no line at all; a cancellation of any origin counted as the caller's leaving.

Change: RequestGuard is the one place where a failure of a request ends: the response, if it was complete; a close within it, if it had begun; 503 with its units returned, if RunRecord is certain that no target ran it and none will; otherwise 502, or 504 after its time limit. One `ended` line has the id, the reason and the cause, with the stack once for each place. RunRecord counts a run from before its send until it is known not to have run, so that a failure between the two never becomes a refusal. The granted slot is released if something fails before the send; a failure of the scheduler reaches the request that asked; nothing that can fail follows the consumption of units. A cancelled session (the process stops) writes the end as well.

Evidence: RequestFailureTest, over a socket, 12 stages times 5 kinds of failure (exception, IOException, foreign cancellation, OutOfMemoryError, StackOverflowError).

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -64,6 +64,8 @@
             )
         }
         val priority = account?.priority ?: route.priority
+        // Nothing that can fail follows the consumption of units, so that none are lost.
+        val call = createCall(request, body, arrivedAtMs, current, metadata, route, account)
         val retryAfterMs = account?.let {
             quotas.tryConsume(it, unitsOf(metadata, it), metadata.requestId)
         }
@@ -82,9 +84,7 @@
                 logFields
             )
         }
-        return Admission.Admitted(
-            createCall(request, body, arrivedAtMs, current, metadata, route, account)
-        )
+        return Admission.Admitted(call)
     }
 
     /**
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.edge.entry
 
-import java.io.IOException
 import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
@@ -22,11 +21,13 @@
 import org.bronzetide.edge.telemetry.SizeMetrics
 import org.bronzetide.http.BodyTooLargeException
 import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.CallerConnectionException
 import org.bronzetide.http.HeadTooLargeException
 import org.bronzetide.http.Header
 import org.bronzetide.http.IncomingRequest
 import org.bronzetide.http.MalformedMessageException
 import org.bronzetide.platform.fleet.CallerLimits
+import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.RequestMetadata
 
 /** Serves the requests of one caller's connection, one after another. */
@@ -34,6 +35,8 @@
     private val connection: CallerConnection,
     private val dependencies: Dependencies
 ) {
+    private val guard = RequestGuard(connection, dependencies)
+
     /** The components that all sessions share. */
     class Dependencies(
         val clock: MonotonicClock,
@@ -50,17 +53,15 @@
      * Serves requests until the connection is closed by the caller, is idle too long, or is closed
      * for the drain.
      *
-     * @throws IOException if the connection breaks.
+     * @throws CallerConnectionException if the connection breaks.
      */
     suspend fun run() {
         try {
             while (serveNext()) Unit
             connection.closeAfterFlush()
         } catch (cause: MalformedMessageException) {
-            dependencies.log.request("malformed request", null, "detail" to cause.message)
+            logMalformed(null, cause)
             refuseAndClose(BAD_REQUEST)
-        } catch (_: BodyTooLargeException) {
-            refuseAndClose(CONTENT_TOO_LARGE)
         } catch (_: HeadTooLargeException) {
             refuseAndClose(HEADERS_TOO_LARGE)
         } finally {
@@ -79,7 +80,10 @@
             refuseAndClose(REQUEST_TIMEOUT)
             return false
         }
-        return dependencies.inFlightRequests.track { serve(request, limits, arrivedAtMs) }
+        val exchange = RequestGuard.Exchange(request, arrivedAtMs)
+        return dependencies.inFlightRequests.track {
+            guard.run(exchange) { serve(exchange, limits) }
+        }
     }
 
     /**
@@ -104,11 +108,8 @@
         if (arrival.isCancelled) connection.hasInput else arrival.await()
     }
 
-    private suspend fun serve(
-        request: IncomingRequest,
-        limits: CallerLimits,
-        arrivedAtMs: Long
-    ): Boolean {
+    private suspend fun serve(exchange: RequestGuard.Exchange, limits: CallerLimits): Boolean {
+        val request = exchange.request
         if (request.headers.sumOf { it.name.length + it.value.length + HEADER_OVERHEAD_BYTES } >
             limits.maxHeaderBytes
         ) {
@@ -118,68 +119,99 @@
         if (request.headers["Expect"] != null) connection.sendContinue()
         val bodyTimeoutMs = RequestMetadata.of(request.headers).timeoutMs ?: limits.idleTimeoutMs
         if (dependencies.inFlightRequests.isClosed) {
-            refuseWithBody(request, stopping, limits, bodyTimeoutMs, arrivedAtMs)
+            refuseWithBody(exchange, stopping, limits, bodyTimeoutMs)
             return false
         }
-        val maxWaitMs = minOf(MAX_BODY_WAIT_MS, bodyTimeoutMs / BODY_WAIT_DIVISOR)
-        val body = try {
-            withTimeout(bodyTimeoutMs) {
-                dependencies.bodies.read(request.body, limits.maxBodyBytes, maxWaitMs)
+        return when (val body = readBody(request, limits, bodyTimeoutMs)) {
+            is BodyRead.Complete -> body.held.use { serve(exchange, it.bytes) }
+
+            is BodyRead.NoRoom -> {
+                val refusal = Admission.Refused(
+                    UNAVAILABLE,
+                    "body budget",
+                    BODY_RETRY_AFTER_MS + Random.nextLong(BODY_RETRY_AFTER_MS),
+                    logFields = listOf("heldBytes" to dependencies.bodies.heldBytes)
+                )
+                refuseWithBody(exchange, refusal, limits, bodyTimeoutMs)
+                false
             }
-        } catch (_: TimeoutCancellationException) {
-            refuseAndClose(REQUEST_TIMEOUT)
-            return false
-        }
-        if (body == null) {
-            val refusal = Admission.Refused(
-                UNAVAILABLE,
-                "body budget",
-                BODY_RETRY_AFTER_MS + Random.nextLong(BODY_RETRY_AFTER_MS),
-                logFields = listOf("heldBytes" to dependencies.bodies.heldBytes)
-            )
-            refuseWithBody(request, refusal, limits, bodyTimeoutMs, arrivedAtMs)
-            return false
-        }
-        return body.use {
-            if (dependencies.inFlightRequests.isClosed) {
-                refuse(request, stopping, arrivedAtMs, mayKeepAlive = false)
-            } else {
-                serve(request, it.bytes, arrivedAtMs)
+
+            is BodyRead.Invalid -> {
+                refuseAndClose(body.status)
+                false
             }
         }
     }
 
-    private suspend fun serve(
+    private suspend fun readBody(
         request: IncomingRequest,
-        body: ByteArray,
-        arrivedAtMs: Long
-    ): Boolean {
-        val admission = dependencies.admissionController.admit(request, body, arrivedAtMs)
+        limits: CallerLimits,
+        timeoutMs: Long
+    ): BodyRead = try {
+        val maxWaitMs = minOf(MAX_BODY_WAIT_MS, timeoutMs / BODY_WAIT_DIVISOR)
+        val held = withTimeout(timeoutMs) {
+            dependencies.bodies.read(request.body, limits.maxBodyBytes, maxWaitMs)
+        }
+        if (held == null) BodyRead.NoRoom else BodyRead.Complete(held)
+    } catch (_: TimeoutCancellationException) {
+        BodyRead.Invalid(REQUEST_TIMEOUT)
+    } catch (_: BodyTooLargeException) {
+        BodyRead.Invalid(CONTENT_TOO_LARGE)
+    } catch (cause: MalformedMessageException) {
+        logMalformed(request.headers[PlatformHeaders.REQUEST_ID], cause)
+        BodyRead.Invalid(BAD_REQUEST)
+    }
+
+    private sealed class BodyRead {
+        class Complete(val held: BodyBudget.HeldBody) : BodyRead()
+
+        /** Other bodies take the memory for bodies. */
+        data object NoRoom : BodyRead()
+
+        /** The request gets a response with [status], and the connection is closed. */
+        class Invalid(val status: Int) : BodyRead()
+    }
+
+    private suspend fun serve(exchange: RequestGuard.Exchange, body: ByteArray): Boolean {
+        if (dependencies.inFlightRequests.isClosed) {
+            return refuse(exchange, stopping, mayKeepAlive = false)
+        }
+        val admission = dependencies.admissionController
+            .admit(exchange.request, body, exchange.arrivedAtMs)
         return when (admission) {
-            is Admission.Refused -> refuse(request, admission, arrivedAtMs)
-            is Admission.Admitted -> forward(admission.call)
+            is Admission.Refused -> refuse(exchange, admission)
+
+            is Admission.Admitted -> {
+                exchange.call = admission.call
+                forward(exchange, admission.call)
+            }
         }
     }
 
     /** Refuses a request before its body has been read, and closes the connection. */
     private suspend fun refuseWithBody(
-        request: IncomingRequest,
+        exchange: RequestGuard.Exchange,
         refusal: Admission.Refused,
         limits: CallerLimits,
-        bodyTimeoutMs: Long,
-        arrivedAtMs: Long
+        bodyTimeoutMs: Long
     ) {
+        val request = exchange.request
         // Callers read the response once they have sent the body.
-        withTimeoutOrNull(bodyTimeoutMs) { request.body.skip(limits.maxBodyBytes) }
-        refuse(request, refusal, arrivedAtMs, mayKeepAlive = false)
+        try {
+            withTimeoutOrNull(bodyTimeoutMs) { request.body.skip(limits.maxBodyBytes) }
+        } catch (cause: MalformedMessageException) {
+            logMalformed(request.headers[PlatformHeaders.REQUEST_ID], cause)
+        }
+        refuse(exchange, refusal, mayKeepAlive = false)
     }
 
     private suspend fun refuse(
-        request: IncomingRequest,
+        exchange: RequestGuard.Exchange,
         refusal: Admission.Refused,
-        arrivedAtMs: Long,
         mayKeepAlive: Boolean = true
     ): Boolean {
+        exchange.mayKeepConnection = mayKeepAlive
+        val request = exchange.request
         val metadata = RequestMetadata.of(request.headers)
         val id = metadata.requestId
         dependencies.log.request(
@@ -198,20 +230,19 @@
             mayKeepAlive && request.isKeepAlive && !dependencies.inFlightRequests.isDraining
         val headers = RequestForwarder.refusalHeaders(id, refusal.retryAfterMs)
         connection.send(refusal.status, headers + connectionHeader(keepAlive), ByteArray(0))
-        val tookMs = dependencies.clock.nowMs() - arrivedAtMs
+        val tookMs = dependencies.clock.nowMs() - exchange.arrivedAtMs
         dependencies.metrics.onRequestEnd(refusal.priority, refusal.status, refusal.reason, tookMs)
         countBySize(refusal.route, refusal.account, metadata, SizeMetrics.Outcome.REFUSED)
         return keepAlive
     }
 
     /** Forwards [call] and cancels it when the caller closes the connection. */
-    private suspend fun forward(call: Call): Boolean {
+    private suspend fun forward(exchange: RequestGuard.Exchange, call: Call): Boolean {
         val result = coroutineScope {
             val forwarding = async {
                 try {
                     dependencies.forwarder.forward(call, connection)
-                } catch (cause: IOException) {
-                    // Only writes to the caller throw; failures of targets are returned as results.
+                } catch (cause: CallerConnectionException) {
                     ForwardingResult(
                         CLIENT_CLOSED_REQUEST,
                         "caller's connection broke: ${cause.message}",
@@ -220,11 +251,16 @@
                     )
                 }
             }
-            val disconnectWatcher = launch { if (connection.awaitClose()) forwarding.cancel() }
+            var hasCallerLeft = false
+            val disconnectWatcher = launch {
+                if (!connection.awaitClose()) return@launch
+                hasCallerLeft = true
+                forwarding.cancel()
+            }
             try {
                 forwarding.await()
             } catch (cause: CancellationException) {
-                if (!forwarding.isCancelled) throw cause
+                if (!hasCallerLeft) throw cause
                 ForwardingResult(
                     CLIENT_CLOSED_REQUEST,
                     "caller left",
@@ -236,13 +272,13 @@
             }
         }
         if (result.hasNotRun) dependencies.admissionController.refund(call)
-        withContext(NonCancellable) { report(call, result) }
+        withContext(NonCancellable) { report(exchange, call, result) }
         return result.isConnectionReusable &&
             call.request.isKeepAlive &&
             !dependencies.inFlightRequests.isDraining
     }
 
-    private fun report(call: Call, result: ForwardingResult) {
+    private fun report(exchange: RequestGuard.Exchange, call: Call, result: ForwardingResult) {
         val tookMs = dependencies.clock.nowMs() - call.arrivedAtMs
         dependencies.log.request(
             "ended", call.requestId, "status" to result.status, "reason" to result.reason,
@@ -252,6 +288,7 @@
             "firstEventMs" to result.stream?.let { it.firstEventAtMs - call.arrivedAtMs },
             "longestPauseMs" to result.stream?.longestPauseMs, "events" to result.stream?.eventCount
         )
+        exchange.isEndLogged = true
         val reason = result.reason.substringBefore(':').substringBefore('(')
         dependencies.metrics.onRequestEnd(call.priority, result.status, reason, tookMs)
         val outcome = when {
@@ -273,6 +310,9 @@
         dependencies.metrics.sizes.onRequestEnd(route, account, promptTokens, outcome)
     }
 
+    private fun logMalformed(requestId: String?, cause: MalformedMessageException) =
+        dependencies.log.request("malformed request", requestId, "detail" to cause.message)
+
     private suspend fun refuseAndClose(status: Int) {
         connection.send(status, connectionHeader(keepAlive = false), ByteArray(0))
         connection.closeAfterFlush()
@@ -282,7 +322,7 @@
         if (keepAlive) emptyList() else listOf(Header("Connection", "close"))
 
     private fun failOnEndOfInput(): Nothing =
-        throw IOException("connection closed before the headers of a request were complete")
+        throw CallerConnectionException("closed before the headers of a request were complete")
 
     private companion object {
         const val MIN_ERROR = 400
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.bronzetide.edge.telemetry.DecisionLog
+import org.bronzetide.http.CallerConnectionException
 import org.bronzetide.http.TcpServer
 import org.bronzetide.http.TcpSocket
 import org.bronzetide.http.TrafficLoop
@@ -64,7 +65,7 @@
             serve(socket)
         } catch (cause: CancellationException) {
             throw cause
-        } catch (_: IOException) {
+        } catch (_: CallerConnectionException) {
             // The client's connection broke; the log line of the request states its outcome.
         } catch (cause: Throwable) {
             log.failure("unexpected failure while serving a connection", cause)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -34,8 +34,15 @@
             val burst = account.quotaBurst * factor
             val nowMs = clock.nowMs()
             val perSecond = account.quotaPerS * factor
-            limiter.tryConsume(account.name, perSecond, burst, units, nowMs, slack)
-                .also { logNearQuota(account.name, requestId, units, it == null, nowMs) }
+            val retryAfterMs =
+                limiter.tryConsume(account.name, perSecond, burst, units, nowMs, slack)
+            try {
+                logNearQuota(account.name, requestId, units, retryAfterMs == null, nowMs)
+            } catch (cause: Throwable) {
+                if (retryAfterMs == null) limiter.refund(account.name, units)
+                throw cause
+            }
+            retryAfterMs
         }
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
@@ -28,6 +28,9 @@
     /** When the caller's deadline or the route's timeout expires, whichever comes first. */
     val deadlineAtMs: Long
 ) {
+    /** The runs at targets so far. */
+    val runs = RunRecord()
+
     val requestId: String? get() = metadata.requestId
 
     /** The parts of the prompt that other requests may share; the last part is not shared. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -48,7 +48,7 @@
      * Forwards [call] and writes the response to [caller]. The session cancels this when the caller
      * disconnects.
      *
-     * @throws java.io.IOException if writing to the caller fails.
+     * @throws org.bronzetide.http.CallerConnectionException if writing to the caller fails.
      */
     suspend fun forward(call: Call, caller: CallerConnection): ForwardingResult {
         val state = State(call, caller)
@@ -81,10 +81,8 @@
         )
         var ticketSequence = 0L
         var sends = 0
-        var possibleRuns = 0
         var refusal: FleetDecision.Refuse? = null
         var lastResult: SendResult? = null
-        var isInFlight = false
 
         /** The bodies of responses, which are held until the caller has been answered. */
         val bodies = ArrayList<AutoCloseable>()
@@ -125,7 +123,6 @@
         var result = send(state, decision)
         while (true) {
             val replacement = state.takeReplacement() ?: return result
-            state.possibleRuns++
             state.ticketSequence = replacement.ticketSequence
             result = complete(state, replacement.beginning)
         }
@@ -178,22 +175,33 @@
 
     private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
         val targetId = decision.targetId
-        val target = findTarget(targetId)
-        if (target == null) {
-            scheduler.release(state.ticketSequence, FleetOutcome.CANCELLED)
-            state.avoid += targetId
-            return SendResult.NotRun("target is gone")
+        var isSlotInUse = false
+        try {
+            val target = findTarget(targetId)
+            if (target == null) {
+                state.avoid += targetId
+                return SendResult.NotRun("target is gone")
+            }
+            onSend(state, decision)
+            val policy = stallPolicy(state, decision.firstEventMs)
+            isSlotInUse = true
+            return awaitAttempt(state, targetId) { attempt(state, target, policy) }
+        } finally {
+            if (!isSlotInUse) scheduler.release(state.ticketSequence, FleetOutcome.CANCELLED)
         }
-        onSend(state, decision)
-        val policy = stallPolicy(state, decision.firstEventMs)
-        return awaitAttempt(state, targetId) {
-            val beginning = begin(state, target, state.ticketSequence, policy)
-            when (beginning) {
-                is TargetClient.Beginning.Ended -> beginning.attempt
+    }
 
-                is TargetClient.Beginning.Responding ->
-                    client.complete(state.call, beginning, state.relay, policy, state.bodies)
-            }
+    private suspend fun attempt(
+        state: State,
+        target: TargetEntry,
+        policy: StallPolicy
+    ): TargetClient.Attempt {
+        val beginning = begin(state, target, state.ticketSequence, policy)
+        return when (beginning) {
+            is TargetClient.Beginning.Ended -> beginning.attempt
+
+            is TargetClient.Beginning.Responding ->
+                client.complete(state.call, beginning, state.relay, policy, state.bodies)
         }
     }
 
@@ -253,7 +261,8 @@
         targetId: String,
         block: suspend () -> TargetClient.Attempt
     ): SendResult {
-        state.isInFlight = true
+        val runs = state.call.runs
+        runs.onBegin()
         state.currentTargetId = targetId
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
@@ -261,7 +270,7 @@
             val attempt = block()
             outcome = attempt.outcome
             msPerEvent = attempt.msPerEvent
-            state.isInFlight = false
+            runs.onEnd(mayHaveRun = attempt.result !is SendResult.NotRun)
             attempt.result
         } finally {
             scheduler.release(state.ticketSequence, outcome, msPerEvent)
@@ -297,10 +306,13 @@
         val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
         var outcome = FleetOutcome.CANCELLED
         var mayHaveRun = false
+        var isBegun = false
         try {
             // A second run at the silent target would not help.
             val target = findTarget(decision.targetId)?.takeIf { it.id != current } ?: return false
             onSend(state, decision, current)
+            call.runs.onBegin()
+            isBegun = true
             mayHaveRun = true
             val beginning = begin(state, target, ticket.sequence, StallPolicy.WaitUntilDeadline)
             when (beginning) {
@@ -323,16 +335,16 @@
             }
             return state.replacement != null
         } finally {
-            if (state.replacement == null) {
-                scheduler.release(ticket.sequence, outcome)
-                if (mayHaveRun) state.possibleRuns++
-            }
+            // A replacement's run begins anew when it takes over from the silent one's.
+            if (isBegun) call.runs.onEnd(mayHaveRun && state.replacement == null)
+            if (state.replacement == null) scheduler.release(ticket.sequence, outcome)
         }
     }
 
     /** Whether no run may be added to the current one. */
     private fun isLastRun(state: State): Boolean =
-        state.possibleRuns + 1 >= state.call.route.maxAttempts || state.sends >= MAX_SENDS
+        state.call.runs.possibleCount + 1 >= state.call.route.maxAttempts ||
+            state.sends >= MAX_SENDS
 
     private fun drop(replacement: Replacement) {
         replacement.beginning.close()
@@ -360,7 +372,7 @@
 
     /**
      * Returns whether to send the request again after [result], which takes a retry from the
-     * budget. Counts the run if the target may have run the request.
+     * budget.
      */
     private fun mayRetry(state: State, result: SendResult): Boolean {
         val call = state.call
@@ -370,9 +382,8 @@
             is SendResult.MayHaveRun -> true
             is SendResult.NotRun -> false
         }
-        if (mayHaveRun) state.possibleRuns++
         if (mayHaveRun && !call.route.kind.isSafeToRetry) return false
-        if (mayHaveRun && state.possibleRuns >= call.route.maxAttempts) return false
+        if (mayHaveRun && call.runs.possibleCount >= call.route.maxAttempts) return false
         if (state.sends >= MAX_SENDS) return false
         val isAllowed = retryBudget.tryRetry(call.service, clock.nowMs())
         if (!isAllowed) log.request("retry budget spent", call.requestId, "sends" to state.sends)
@@ -424,8 +435,7 @@
                 hasNotRun = false
             )
         }
-        val hasNotRun = state.possibleRuns == 0 && !state.isInFlight
-        return if (hasNotRun) refuse(state) else fail(state)
+        return if (state.call.runs.hasNotRun) refuse(state) else fail(state)
     }
 
     private suspend fun refuse(state: State): ForwardingResult {
@@ -442,9 +452,7 @@
     private suspend fun fail(state: State): ForwardingResult {
         val isLate = clock.nowMs() >= state.call.deadlineAtMs
         val status = if (isLate) GATEWAY_TIMEOUT else BAD_GATEWAY
-        val headers =
-            listOfNotNull(state.call.requestId?.let { Header(PlatformHeaders.REQUEST_ID, it) })
-        state.caller.send(status, headers, ByteArray(0))
+        state.caller.send(status, failureHeaders(state.call.requestId), ByteArray(0))
         val reason = state.lastResult?.toString() ?: unansweredReason()
         return ForwardingResult(status, reason, isConnectionReusable = true, hasNotRun = false)
     }
@@ -455,14 +463,14 @@
         private val ticketSequences = java.util.concurrent.atomic.AtomicLong()
         private const val OK = 200
         private const val MIN_SERVER_ERROR = 500
-        private const val BAD_GATEWAY = 502
-        private const val UNAVAILABLE = 503
-        private const val GATEWAY_TIMEOUT = 504
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
         private const val MAX_SENDS = 4
 
         /** Callers return within a third of the time that they have left. */
         private const val RETRY_AFTER_DIVISOR = 3
-        private const val DEFAULT_RETRY_AFTER_MS = 300L
+        const val DEFAULT_RETRY_AFTER_MS = 300L
 
         // Callers abandon a stream after the longest of these times without an event.
         private const val MIN_GIVE_UP_MS = 2_000L
@@ -475,6 +483,10 @@
         private const val STALL_EVENT_INTERVAL_FACTOR = 4L
         private const val MIN_STALL_TIMEOUT_MS = 350L
 
+        /** Returns the headers of a failure, which promises nothing about the request. */
+        fun failureHeaders(requestId: String?): List<Header> =
+            listOfNotNull(requestId?.let { Header(PlatformHeaders.REQUEST_ID, it) })
+
         /**
          * Returns the headers of a refusal, which guarantees that the request did not run.
          * [retryAfterMs] is written in seconds.
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -1,6 +1,5 @@
 package org.bronzetide.edge.forwarding
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
@@ -24,18 +23,25 @@
     private var isDecisionScheduled = false
 
     /**
-     * Queues [ticket] and waits for the scheduler's decision. If the wait is cancelled, the ticket
-     * is withdrawn and a slot that was already granted is released.
+     * Queues [ticket] and waits for the scheduler's decision, or throws what the scheduler throws.
+     * If the wait is cancelled or fails, the ticket is withdrawn and a slot that was already
+     * granted is released.
      */
     suspend fun awaitDecision(ticket: FleetTicket): FleetDecision {
         val result = CompletableDeferred<FleetDecision>()
         control.post {
-            scheduler.enroll(ticket, clock.nowMs()) { result.complete(it) }
-            scheduleDecision()
+            try {
+                scheduler.enroll(ticket, clock.nowMs()) { result.complete(it) }
+            } catch (cause: Throwable) {
+                // Another ticket's failure, if this one has its decision.
+                if (!result.completeExceptionally(cause)) throw cause
+            } finally {
+                scheduleDecision()
+            }
         }
         try {
             return result.await()
-        } catch (cause: CancellationException) {
+        } catch (cause: Throwable) {
             control.post {
                 scheduler.withdraw(ticket.sequence)
                 scheduler.release(ticket.sequence, FleetOutcome.CANCELLED, clock.nowMs())
@@ -84,8 +90,11 @@
         isDecisionScheduled = true
         control.timers.after(DECISION_INTERVAL_MS) {
             isDecisionScheduled = false
-            scheduler.decide(clock.nowMs())
-            scheduleDecision()
+            try {
+                scheduler.decide(clock.nowMs())
+            } finally {
+                scheduleDecision()
+            }
         }
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/DecisionLog.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.edge.telemetry
 
+import java.util.concurrent.ConcurrentHashMap
 import org.bronzetide.coordination.MonotonicClock
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
@@ -19,6 +20,7 @@
     private var second = 0L
     private var written = 0
     private var omitted = 0
+    private val loggedStacks = ConcurrentHashMap.newKeySet<String>()
 
     /** Logs a decision on the request [requestId], unless the limit is reached. */
     fun request(event: String, requestId: String?, vararg fields: Pair<String, Any?>) {
@@ -27,6 +29,29 @@
         }
     }
 
+    /**
+     * Logs a decision on the request [requestId] that [cause] led to. The stack is added to the
+     * first line only with a cause of the same class that was thrown at the same place.
+     */
+    fun requestFailure(
+        event: String,
+        requestId: String?,
+        cause: Throwable,
+        vararg fields: Pair<String, Any?>
+    ) {
+        val place = "${cause.javaClass.name} ${cause.stackTrace.firstOrNull()}"
+        val isNew = loggedStacks.size < MAX_LOGGED_STACKS && loggedStacks.add(place)
+        val stack = if (isNew) cause.stackTraceToString().take(MAX_STACK_CHARS) else null
+        request(
+            event,
+            requestId,
+            *fields,
+            "cause" to cause.javaClass.name,
+            "message" to cause.message,
+            "stack" to stack
+        )
+    }
+
     /** Logs a change of the observed state, or of the state of the process itself. */
     fun stateChange(event: String, vararg fields: Pair<String, Any?>) =
         write(Level.INFO, event, fields.asList())
@@ -63,5 +88,11 @@
         /** More than the lines of 60 requests per second, the rate on the largest hosts. */
         const val MAX_REQUEST_LINES_PER_S = 200
         const val MS_PER_S = 1_000
+
+        /** Bounds the memory for the places of failures; there are a few in a faulty process. */
+        const val MAX_LOGGED_STACKS = 100
+
+        /** Some forty frames; the stack of an endless recursion has a thousand. */
+        const val MAX_STACK_CHARS = 4_000
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -9,8 +9,10 @@
 import java.util.concurrent.TimeUnit
 
 /** Counters and latency histograms of one process, in Prometheus' text format. */
-internal class EdgeMetrics {
-    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+internal class EdgeMetrics(
+    private val registry: PrometheusMeterRegistry =
+        PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+) {
 
     /** Ended requests by their size. */
     val sizes = SizeMetrics(registry)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -23,17 +23,32 @@
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.CallerLimits
 import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.platform.fleet.TargetEntry
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /**
- * Serves callers' sessions without routes, so that each request that is read is answered with 404.
- * [beforeAdmission] runs when a request and its body have been read.
+ * Serves callers' sessions. Without [Parts.manifest] there are no routes, so that each request that
+ * is read is answered with 404. [beforeAdmission] runs when a request and its body have been read.
  */
 internal class SessionServer(
     private val bodies: BodyBudget = BodyBudget.ofHeap(),
+    private val parts: Parts = Parts(),
     private val beforeAdmission: suspend () -> Unit = {}
 ) : AutoCloseable {
+    /** The parts of the path of a request, which a test may replace by failing ones. */
+    class Parts(
+        val manifest: (() -> Manifest?)? = null,
+        val quotas: AdmissionController.AccountQuotas = Unlimited,
+        val findTarget: (String) -> TargetEntry? = { null },
+        val scheduler: FleetScheduler = FleetScheduler("z1", Random.Default),
+        val schedulerClock: MonotonicClock = MonotonicClock.System,
+        val forwarderClock: MonotonicClock = MonotonicClock.System,
+        val clientClock: MonotonicClock = MonotonicClock.System,
+        val logClock: MonotonicClock = MonotonicClock.System,
+        val metrics: EdgeMetrics = EdgeMetrics()
+    )
+
     private val clock = MonotonicClock.System
     private val control = ControlLoop(clock)
     val loop = TrafficLoop()
@@ -47,6 +62,7 @@
     var limits = CallerLimits(idleTimeoutMs = 300)
 
     init {
+        control.start()
         scope.launch {
             while (true) {
                 val connection = CallerConnection(server.accept())
@@ -63,15 +79,23 @@
     }
 
     private fun dependencies(): CallerSession.Dependencies {
-        val log = DecisionLog(clock)
-        val metrics = EdgeMetrics()
-        val scheduler = SchedulerAdapter(control, clock, FleetScheduler("z1", Random.Default))
+        val log = DecisionLog(parts.logClock)
+        val scheduler = SchedulerAdapter(control, parts.schedulerClock, parts.scheduler)
         val budget = WindowedRetryBudget(0.0, 0.0, 1_000) { 1 }
-        val client = TargetClient(pool, clock, Departures(log) {})
+        val client = TargetClient(pool, parts.clientClock, Departures(log) {})
+        val (findTarget, metrics) = parts.findTarget to parts.metrics
         return CallerSession.Dependencies(
             clock,
             admissionController(),
-            RequestForwarder(scheduler, client, clock, budget, { null }, log, metrics),
+            RequestForwarder(
+                scheduler,
+                client,
+                parts.forwarderClock,
+                budget,
+                findTarget,
+                log,
+                metrics
+            ),
             { limits },
             inFlightRequests,
             bodies,
@@ -80,10 +104,11 @@
         )
     }
 
-    /** Finds the manifest only after [beforeAdmission]. */
     private fun admissionController(): AdmissionController {
+        parts.manifest?.let { return AdmissionController(it, parts.quotas) }
+        // Found only after [beforeAdmission].
         var manifest: Manifest? = null
-        return AdmissionController({ manifest }, Unlimited) {
+        return AdmissionController({ manifest }, parts.quotas) {
             beforeAdmission()
             manifest = Manifest(1, emptyList(), emptyMap(), emptyList(), limits)
         }
