Queue: the size of a prompt no longer decides whether a request is served

In an overload, callers' large requests were refused with `too many ahead` or `no target in time` far more often than small ones of the same route.

Cause: a request counted as late once an idle engine could not read its own prompt in time. A long prompt was therefore late sooner; late requests yield to all that are on time, count all that arrive meanwhile as ahead of them, and are refused. Small requests, with the same objective, took the slots.

Now a request is late once less time is left than most requests of its service take, whatever their size: the mean of the measured times plus two mean deviations, and at most half of the time that the request had, so that a service that turns slow does not make all requests late on arrival. Nothing else in the decision to send or refuse depends on the size. The prediction for the chosen target, and the choice of it, keep the size.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/EngineLatencyModel.kt
@@ -30,9 +30,6 @@
         return load.slowdownAt(nowMs) * (fixedMs + readingMs)
     }
 
-    /** The predicted time to the first event if no other prompt is read, in milliseconds. */
-    fun unloadedFirstEventMs(promptTokens: Int): Double = fixedMs + promptTokens * msPerPromptToken
-
     fun learnEventInterval(observedMsPerEvent: Double) {
         if (observedMsPerEvent <= 0 || !observedMsPerEvent.isFinite()) return
         msPerEvent += (observedMsPerEvent - msPerEvent) * GAIN
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -12,8 +12,8 @@
 public class FleetScheduler(private val zone: String, private val random: Random) {
     private val targets = LinkedHashMap<String, TargetLoad>()
     private val engine = EngineLatencyModel()
-    private val responseTimes = HashMap<String, ResponseTimeEstimator>()
-    private val waiting = WaitingQueue(::expectedMs)
+    private val responseTimes = ResponseTimes()
+    private val waiting = WaitingQueue(responseTimes::usualMs)
     private val running = HashMap<Long, Run>()
     private val overloadPolicies = HashMap<String, OverloadPolicy>()
 
@@ -104,7 +104,7 @@
 
     /** Queues [ticket]; [onDecision] gets its decision, during this call or a later one. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
-        waiting.add(ticket, onDecision)
+        waiting.add(ticket, nowMs, onDecision)
         overloadPolicyOf(ticket).onArrival(nowMs)
         decide(nowMs)
     }
@@ -121,8 +121,9 @@
         run.firstEventAtMs = nowMs
         run.load.onFirstEvent(run.ticket.promptTokens)
         if (!run.load.spec.isEngine) return
-        val tookMs = (nowMs - run.sentAtMs).toDouble()
-        engine.learnFirstEvent(tookMs, run.aheadTokens, run.load.slowdown.current)
+        val tookMs = nowMs - run.sentAtMs
+        responseTimes.addSample(run.ticket.service, tookMs)
+        engine.learnFirstEvent(tookMs.toDouble(), run.aheadTokens, run.load.slowdown.current)
     }
 
     /** Learns from the mean event interval so far of the response to a ticket that was sent. */
@@ -156,9 +157,7 @@
             else -> Unit
         }
         if (outcome == FleetOutcome.ANSWERED && !run.load.spec.isEngine) {
-            responseTimes.getOrPut(run.ticket.service) { ResponseTimeEstimator() }.addSample(
-                nowMs - run.sentAtMs
-            )
+            responseTimes.addSample(run.ticket.service, nowMs - run.sentAtMs)
         }
         decide(nowMs)
     }
@@ -287,13 +286,6 @@
             candidates.shuffled(random).take(SAMPLE_SIZE)
         }
 
-    /** The time from sending [ticket] to its first event on an idle engine, or to its response. */
-    private fun expectedMs(ticket: FleetTicket): Long = if (ticket.expectedEvents > 0) {
-        engine.unloadedFirstEventMs(ticket.promptTokens).toLong()
-    } else {
-        responseTimes[ticket.service]?.expectedMs ?: 0
-    }
-
     /**
      * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
      * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -11,16 +11,17 @@
  * A late request yields to all that can be on time until shortly before its latest start. Then its
  * priority counts again, so that it is not shed in favor of less urgent ones.
  *
- * [expectedMs] predicts the time from sending a request to its first event or its complete
- * response, in milliseconds.
+ * [usualMs] returns the time within which most requests of a service get their first event or
+ * their complete response after they were sent, in milliseconds. A request is late once less than
+ * that is left, but not before half of the time that it had when it was added.
  */
-internal class WaitingQueue(private val expectedMs: (FleetTicket) -> Long) {
+internal class WaitingQueue(private val usualMs: (service: String) -> Long) {
     private val entries = LinkedHashMap<Long, Entry>()
 
     val size: Int get() = entries.size
 
-    fun add(ticket: FleetTicket, onDecision: (FleetDecision) -> Unit) {
-        entries[ticket.sequence] = Entry(ticket, onDecision)
+    fun add(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
+        entries[ticket.sequence] = Entry(ticket, nowMs, onDecision)
     }
 
     fun remove(sequence: Long) {
@@ -52,14 +53,19 @@
 
     private fun withRank(entry: Entry, nowMs: Long): RankedEntry {
         val ticket = entry.ticket
-        val isLate = nowMs + expectedMs(ticket) > ticket.dueAtMs
+        val halfMs = (ticket.dueAtMs - entry.addedAtMs).coerceAtLeast(0) / 2
+        val isLate = nowMs + minOf(usualMs(ticket.service), halfMs) > ticket.dueAtMs
         val isDeferred = isLate && ticket.startByMs - nowMs > PRIORITY_RESTORE_MS
         val rank = if (isDeferred) DEFERRED_RANK + ticket.priority else ticket.priority
         return RankedEntry(entry, rank, isLate)
     }
 
     /** A waiting request and the receiver of its decision. */
-    class Entry(val ticket: FleetTicket, val onDecision: (FleetDecision) -> Unit)
+    class Entry(
+        val ticket: FleetTicket,
+        val addedAtMs: Long,
+        val onDecision: (FleetDecision) -> Unit
+    )
 
     /**
      * A waiting request with its rank: its priority, or a greater number if it is late and yields
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/WaitingQueueTest.kt
@@ -5,7 +5,8 @@
 
 /** The order of the queue while a burst beyond the targets' capacity builds up and drains. */
 class WaitingQueueTest {
-    private val queue = WaitingQueue { 50 }
+    private var usualMs = 50L
+    private val queue = WaitingQueue { usualMs }
 
     @Example
     fun onTimeRequestsPrecedeLateOnesOfTheSamePriority() {
@@ -46,13 +47,26 @@
         assertThat(order(nowMs = 300)).containsExactly(2, 3, 1)
     }
 
+    /** Guards against all requests being late from their arrival once a service is slow. */
+    @Example
+    fun requestIsNotLateBeforeHalfOfItsTimeHasPassed() {
+        usualMs = 5_000
+        add(1, priority = 1, dueAtMs = 800, startByMs = 2_000)
+        add(2, priority = 2, dueAtMs = 2_000, startByMs = 5_000)
+        assertThat(order(nowMs = 400)).containsExactly(1, 2)
+        assertThat(order(nowMs = 401)).containsExactly(2, 1)
+    }
+
     private fun add(
         sequence: Long,
         priority: Int,
         dueAtMs: Long,
         startByMs: Long,
         service: String = "model"
-    ) = queue.add(FleetTicket(sequence, service, priority, 500, 50, dueAtMs, startByMs)) {}
+    ) {
+        val ticket = FleetTicket(sequence, service, priority, 500, 50, dueAtMs, startByMs)
+        queue.add(ticket, nowMs = 0) {}
+    }
 
     private fun order(nowMs: Long) = queue.inDispatchOrder(nowMs).map { it.entry.ticket.sequence }
 }
