--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -54,6 +54,11 @@
             Entry(++revision, JsonUnquotedLiteral(body))
     }
 
+    /** Writes what [edit] makes of an object's body. */
+    @Synchronized
+    fun edit(kind: String, name: String, edit: (String) -> String) =
+        write(kind, name, edit(kinds.getValue(kind).getValue(name).body.toString()))
+
     @Synchronized
     fun remove(kind: String, name: String) {
         kinds.getOrPut(kind) { TreeMap() }[name] = Entry(++revision, null)
