Do not resume an engine's stream after an event that could not be passed on

Callers would see: a stream without one of its events that ends as complete, or a request that never ends.

Cause: EngineClient took whatever was thrown while an event was passed on for a failure of the engine, and resumed the stream after that event. A cancellation from elsewhere ended the reading job without a result, and the watchdog is paused while an event is passed on, so that nothing ended the wait.

Change: such a failure is an EmitException, which ends the dispatch. The end of the reading job always gives a result.

EngineClientTest.eventThatCannotBePassedOnIsNotSkipped guards the first; it was not run on the old code, which lacks its type.

--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/EngineClient.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/dispatch/EngineClient.kt
@@ -19,7 +19,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
@@ -48,9 +50,19 @@
     /**
      * Runs [call] and passes each new event to [emit]. Cancelling the coroutine does not stop the
      * engine; [cancel] does.
+     *
+     * @throws EmitException if [emit] fails.
      */
     suspend fun run(call: EngineCall, emit: suspend (StreamEvent) -> Unit): DispatchResult {
-        val reader = StreamReader(clock, call.promptTokens, emit)
+        val reader = StreamReader(clock, call.promptTokens) { event ->
+            try {
+                emit(event)
+            } catch (cause: Throwable) {
+                // A cancelled dispatch must stay one.
+                currentCoroutineContext().ensureActive()
+                throw EmitException(cause)
+            }
+        }
         val result = post(call, reader)
         if (result is Attempt.NoConnection) return DispatchResult.NotSent(result.detail)
         if (result is Attempt.Rejected) {
@@ -117,6 +129,8 @@
         }
     } catch (cause: CancellationException) {
         throw cause
+    } catch (cause: EmitException) {
+        throw cause
     } catch (cause: Exception) {
         val detail = cause.message ?: cause::class.simpleName.orEmpty()
         if (cause.isConnectFailure) Attempt.NoConnection(detail) else Attempt.Interrupted(detail)
@@ -153,6 +167,8 @@
                     result.completeExceptionally(cause)
                 }
             }
+            // A cancellation that does not come from here would leave no result.
+            blockJob.invokeOnCompletion { it?.let(result::completeExceptionally) }
             val timeoutJob = launch {
                 watchdog.awaitIdleTimeout()
                 result.complete(Attempt.Idle)
@@ -184,3 +200,9 @@
         const val MAX_NO_PROGRESS_MS = 120_000L
     }
 }
+
+/**
+ * An event could not be passed on. It is no failure of the engine, whose stream would else be
+ * resumed after an event that the caller lacks.
+ */
+internal class EmitException(cause: Throwable) : RuntimeException(cause)
--- a/bronzetide-node/src/test/kotlin/org/bronzetide/node/dispatch/EngineClientTest.kt
+++ b/bronzetide-node/src/test/kotlin/org/bronzetide/node/dispatch/EngineClientTest.kt
@@ -1,5 +1,6 @@
 package org.bronzetide.node.dispatch
 
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -53,6 +54,18 @@
         assertThat(text).isEqualTo("t1 ")
     }
 
+    /** Guards against a stream that is resumed after an event that its caller lacks. */
+    @Example
+    fun eventThatCannotBePassedOnIsNotSkipped() {
+        serve { HEAD + token(1) + token(2) + end }
+        val call =
+            EngineCall("http://127.0.0.1:${server.localPort}", "id-1", "{}", promptTokens = 1, null)
+        val failure = runCatching {
+            runBlocking { withTimeout(20_000) { client.run(call) { throw IOException("full") } } }
+        }.exceptionOrNull()
+        assertThat(failure).isInstanceOf(EmitException::class.java)
+    }
+
     private fun assertThatStreamStaysCut(resumed: String) {
         serve { number -> if (number == 1) HEAD + token(1) + token(2) else resumed }
         val (result, text) = run()
