Give each request at a node's entry one verdict, whatever is thrown in its path

Callers would see: status 500 without a verdict, or a stream cut without an error event; slots and the count of requests in progress that never fell again. Found by reading and test; not seen in a log.

Cause: CallerRoutes.handle let everything pass to the HTTP server. A check for readiness that threw left its request counted; a look-up of a host that threw left its grant held; a release that threw left the count of dispatches.

Change: handle is the one place where a failure ends: a JSON error with the id and a verdict, NotRun (503) if the request was not yet handed to a target and has no idempotency key, as an earlier attempt with it may have run; otherwise MayHaveRun (502). A failure of a dispatch becomes its outcome, so that a stream that has begun ends with an error event. Only a caller that has left gets no response.

--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CallerRequest.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CallerRequest.kt
@@ -22,7 +22,11 @@
     val deadlineAtMs: Long,
     val arrivedAtMs: Long,
     val span: Span
-)
+) {
+    /** Whether the request is with a target now, or may have run at one. */
+    @Volatile
+    var mayHaveRun = false
+}
 
 /** How a request ended. */
 internal class RequestOutcome(
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CallerRoutes.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/CallerRoutes.kt
@@ -18,6 +18,8 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.coordination.RefusalReason
 import org.bronzetide.coordination.Verdict
@@ -29,6 +31,7 @@
 import org.bronzetide.node.operator.RecentRefusals
 import org.bronzetide.node.telemetry.NodeMetrics
 import org.bronzetide.node.telemetry.Tracing
+import org.slf4j.LoggerFactory
 
 /** The HTTP API for callers: chat completions and service operations. */
 internal class CallerRoutes(
@@ -43,6 +46,8 @@
     private val inFlight: InFlightRequests,
     private val refusals: RecentRefusals
 ) {
+    private val log = LoggerFactory.getLogger(CallerRoutes::class.java)
+
     /** Adds the routes to [routes]. */
     fun install(routes: Route) {
         routes.post("/v1/chat/completions") { handle(call) { handleCompletion(it) } }
@@ -51,22 +56,56 @@
         }
     }
 
+    /**
+     * Serves [call] and gives it one response with a verdict, whatever is thrown on the way, errors
+     * such as exhausted memory included. Only a caller that has left gets none.
+     */
     private suspend fun handle(call: ApplicationCall, serve: suspend (ReceivedRequest) -> Unit) {
         val id = admission.newRequestId()
-        val reason = inFlight.tryStart()
-        if (reason != null) return call.respondRefusal(id, reason, retryAfterMs = UNREADY_RETRY_MS)
-        val span = tracing.startEntrySpan { call.request.header(it) }
+        var received: ReceivedRequest? = null
+        var span: Span? = null
+        var isStarted = false
         try {
+            val reason = inFlight.tryStart()
+            isStarted = reason == null
+            if (reason != null) {
+                return call.respondRefusal(id, reason, retryAfterMs = UNREADY_RETRY_MS)
+            }
+            span = tracing.startEntrySpan { call.request.header(it) }
             val caller = admission.callerOf(call)
                 ?: return call.respondRefusal(id, RefusalReason.UNAUTHENTICATED)
             val text = bodyOf(call, id) ?: return
-            serve(ReceivedRequest(call, id, caller, text, span))
+            received = ReceivedRequest(call, id, caller, text, span)
+            serve(received)
+        } catch (cause: Throwable) {
+            // A caller that has left cancels the coroutine of its call.
+            currentCoroutineContext().ensureActive()
+            val outcome = outcomeOf(cause, id, received?.admitted)
+            // Of a response that has begun, the engine closes the connection without its end.
+            if (!call.response.isCommitted) call.respondOutcome(id, outcome)
         } finally {
-            span.end()
-            inFlight.finish()
+            span?.end()
+            if (isStarted) inFlight.finish()
         }
     }
 
+    /**
+     * Returns the outcome of the request [id] that [cause] has ended. [request] is `null` before
+     * its admission. An earlier attempt with the same key may have run.
+     */
+    private fun outcomeOf(
+        cause: Throwable,
+        id: RequestId,
+        request: CallerRequest?
+    ): RequestOutcome {
+        log.error("request {} ended by a failure of this node", id.value, cause)
+        if (request == null || !request.mayHaveRun && request.idempotencyKey == null) {
+            val verdict = Verdict.NotRun(RefusalReason.UNAVAILABLE)
+            return RequestOutcome(verdict, retryAfterMs = UNREADY_RETRY_MS)
+        }
+        return RequestOutcome(Verdict.MayHaveRun("the node failed"))
+    }
+
     private suspend fun bodyOf(call: ApplicationCall, id: RequestId): String? {
         val notRun = Verdict.NotRun(RefusalReason.INVALID)
         when (val body = bodies.read(call)) {
@@ -146,7 +185,11 @@
         val result = with(received) { admission.admit(call, id, caller, pool, content, span) }
         when (result) {
             is Admission.AdmitResult.Refused -> received.refuse(result.reason, result.message)
-            is Admission.AdmitResult.Admitted -> serve(received.call, result.request)
+
+            is Admission.AdmitResult.Admitted -> {
+                received.admitted = result.request
+                serve(received.call, result.request)
+            }
         }
     }
 
@@ -172,11 +215,22 @@
 
     /**
      * Runs [request]. Commands and requests with an idempotency key continue after their caller
-     * disconnects, so that a retry finds the response; other requests are cancelled.
+     * disconnects, so that a retry finds the response; other requests are cancelled. A failure is
+     * returned as an outcome, so that a stream that has begun ends with an error event.
      */
     private suspend fun run(
         request: CallerRequest,
         emit: suspend (StreamEvent) -> Unit
+    ): RequestOutcome = try {
+        runOrThrow(request, emit)
+    } catch (cause: Throwable) {
+        currentCoroutineContext().ensureActive()
+        outcomeOf(cause, request.id, request)
+    }
+
+    private suspend fun runOrThrow(
+        request: CallerRequest,
+        emit: suspend (StreamEvent) -> Unit
     ): RequestOutcome {
         val hasKey = request.idempotencyKey != null
         val isCommand = (request.content as? RequestContent.ServiceRequest)?.isIdempotent == false
@@ -261,7 +315,10 @@
         val caller: CallerId,
         val text: String,
         val span: Span
-    )
+    ) {
+        /** The request once it is admitted. */
+        var admitted: CallerRequest? = null
+    }
 
     private companion object {
         const val DONE = "[DONE]"
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/InFlightRequests.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/InFlightRequests.kt
@@ -22,9 +22,13 @@
     /** Counts a new request and returns `null`, or returns the reason of its refusal. */
     fun tryStart(): RefusalReason? {
         inFlight.incrementAndGet()
-        if (!isClosed && isReady()) return null
-        inFlight.decrementAndGet()
-        return RefusalReason.UNAVAILABLE
+        var isCounted = false
+        try {
+            isCounted = !isClosed && isReady()
+        } finally {
+            if (!isCounted) inFlight.decrementAndGet()
+        }
+        return if (isCounted) null else RefusalReason.UNAVAILABLE
     }
 
     /** Counts an execution that may continue after its caller disconnects. */
--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestForwarder.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/entry/RequestForwarder.kt
@@ -116,18 +116,27 @@
         grant: DispatchGrant,
         emit: suspend (StreamEvent) -> Unit
     ): RequestOutcome? {
-        val host = hostOf(request.poolId, grant.target)
-        if (host == null) {
-            grants.release(grant, Release(ReleaseOutcome.UNREACHABLE))
-            return null
-        }
-        val dispatch = Dispatch(request, grant, host)
+        var isUsed = false
+        var unused = ReleaseOutcome.CANCELLED
+        val dispatch = try {
+            val host = hostOf(request.poolId, grant.target)
+            if (host == null) unused = ReleaseOutcome.UNREACHABLE
+            host?.let { Dispatch(request, grant, it) }.also { isUsed = it != null }
+        } finally {
+            if (!isUsed) grants.release(grant, Release(unused))
+        } ?: return null
         inFlight.incrementAndGet()
         try {
-            return dispatch.run(emit)
+            request.mayHaveRun = true
+            val outcome = dispatch.run(emit)
+            if (outcome == null) request.mayHaveRun = false
+            return outcome
         } finally {
-            withContext(NonCancellable) { dispatch.close() }
-            inFlight.decrementAndGet()
+            try {
+                withContext(NonCancellable) { dispatch.close() }
+            } finally {
+                inFlight.decrementAndGet()
+            }
         }
     }
 
