Caller limits: a caller over its token limit is admitted alike for any size

With a limit on tokens a second, large requests of a caller that asked for more than its limit were refused over and over while its small ones were admitted.

Cause: a request had to wait until the bucket held all of its tokens. Small ones took each refill before it reached what a large one needs.

Now a request of any size is admitted while there are tokens left, and those that it takes beyond them are paid back before the next one. Requests that come at the same time thus wait equally long.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/CallerLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/CallerLimiter.kt
@@ -8,8 +8,11 @@
     private val usages = HashMap<CallerId, Usage>()
 
     /**
-     * Admits a request of [tokens] estimated tokens and returns `null`. If it would exceed a limit,
+     * Admits a request of [tokens] estimated tokens and returns `null`. If a limit is reached,
      * returns the time in milliseconds after which a retry may be admitted.
+     *
+     * A request may take more tokens than are left, and the next ones wait until these are paid
+     * back. If it had to wait for all of its tokens, smaller ones would take them first.
      */
     public fun admit(caller: CallerId, limits: CallerLimits, tokens: Double, nowMs: Long): Long? {
         val usage = usages.getOrPut(caller) { Usage() }
@@ -19,11 +22,11 @@
         }
         val waitMs = maxOf(
             usage.requests?.waitMs(1.0, nowMs) ?: 0,
-            usage.tokens?.waitMs(tokens, nowMs) ?: 0
+            usage.tokens?.waitMs(LEAST_TOKENS, nowMs) ?: 0
         )
         if (waitMs > 0) return waitMs
         usage.requests?.tryConsume(1.0, nowMs)
-        usage.tokens?.tryConsume(tokens, nowMs)
+        usage.tokens?.correct(tokens, nowMs)
         usage.concurrent++
         return null
     }
@@ -63,5 +66,8 @@
     private companion object {
         const val CONCURRENCY_RETRY_MS = 1_000L
         const val BURST_SECONDS = 2.0
+
+        /** The tokens that must be left to admit a request of any size. */
+        const val LEAST_TOKENS = 1.0
     }
 }
