Deliver the decisions that were made before a decision failed

Callers would see: a request that the scheduler had decided on gets no answer until its time limit. Found by reading; not seen in a log.

Cause: FleetScheduler.decide takes each decided ticket out of the queue, and tells all of them at the end. If a later ticket's decision throws, the earlier ones have left the queue, hold a slot, and never learn it: only the ticket that is being enrolled gets the failure.

Change: what was decided is delivered in any case.

Evidence: FleetSchedulerTest, a random source that fails at the second of three tickets. Before: "Expecting actual: [] to contain exactly: [1L]". Now the first has its decision, and the others get theirs at the next call.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -168,17 +168,21 @@
         val ahead = HashMap<String, Int>()
         val restMsByService = HashMap<String, Long>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
-        for (ranked in waiting.inDispatchOrder(nowMs)) {
-            val ticket = ranked.entry.ticket
-            val restMs = restMsByService.getOrPut(ticket.service) {
-                targets.values.inService(ticket.service).restMs(nowMs)
+        try {
+            for (ranked in waiting.inDispatchOrder(nowMs)) {
+                val ticket = ranked.entry.ticket
+                val restMs = restMsByService.getOrPut(ticket.service) {
+                    targets.values.inService(ticket.service).restMs(nowMs)
+                }
+                val decision = decisionFor(ticket, ranked.rank, ahead, restMs, nowMs) ?: continue
+                waiting.remove(ticket.sequence)
+                if (decision is FleetDecision.Send) start(ranked, decision.targetId, nowMs)
+                decided += ranked.entry to decision
             }
-            val decision = decisionFor(ticket, ranked.rank, ahead, restMs, nowMs) ?: continue
-            waiting.remove(ticket.sequence)
-            if (decision is FleetDecision.Send) start(ranked, decision.targetId, nowMs)
-            decided += ranked.entry to decision
+        } finally {
+            // These have left the queue, so that no later call would decide on them.
+            decided.forEach { (entry, decision) -> entry.onDecision(decision) }
         }
-        decided.forEach { (entry, decision) -> entry.onDecision(decision) }
     }
 
     /** The targets that are ejected on this host, to report to the other hosts. */
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -5,6 +5,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.assertj.core.api.Assertions.assertThat
+import org.assertj.core.api.Assertions.assertThatThrownBy
 
 class FleetSchedulerTest {
     private val scheduler = FleetScheduler("zone-a", Random(1))
@@ -299,6 +300,36 @@
         assertThat(subject.waitingCount).isZero()
     }
 
+    /** Guards against decided requests that never learn it and wait for their time limit. */
+    @Example
+    fun decidedRequestsGetTheirDecisionAlthoughALaterDecisionFails() {
+        val random = FailingRandom()
+        val scheduler = FleetScheduler("zone-a", random)
+        (1L..3L).forEach {
+            scheduler.enroll(ticket(it, 1, 10_000), 0) { decision -> sent[it] = decision }
+        }
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        random.remainingCalls = 2
+        assertThatThrownBy { scheduler.decide(1) }.hasMessage("on purpose")
+        assertThat(sent.keys).containsExactly(1L)
+        assertThat(scheduler.runningCount).isEqualTo(1)
+        random.remainingCalls = Int.MAX_VALUE
+        scheduler.decide(2)
+        assertThat(sent.keys).containsExactly(1L, 2L, 3L)
+    }
+
+    private class FailingRandom : Random() {
+        var remainingCalls = Int.MAX_VALUE
+        private val values = Random(1)
+
+        override fun nextBits(bitCount: Int): Int = values.nextBits(bitCount)
+
+        override fun nextDouble(): Double {
+            check(remainingCalls-- > 0) { "on purpose" }
+            return values.nextDouble()
+        }
+    }
+
     private fun enroll(sequence: Long, priority: Int = 1, startByMs: Long = 10_000) =
         scheduler.enroll(ticket(sequence, priority, startByMs), 0) { sent[sequence] = it }
 
