Resume a stream that broke off before new requests are served

Callers saw long streams cut for good during an overload, while short ones were resumed. The log said only why the first run had ended.

Cause: the ticket for a resumption kept the latency target of the first event, which a stream that has run for a while has always passed. It counted as late, yielded to all requests on time, counted all arrivals as ahead, and was refused at once with `too many ahead` although the caller's deadline was far.

Change: a stream that has begun is due at its deadline, and its end tells why it was not resumed.

Evidence: ResumeUnderLoadTest (two full targets, a stream cut after 0.8 s with a latency target of 0.4 s) failed before with "connection closed within the body"; now the stream is whole.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -142,7 +142,7 @@
             call.priority,
             call.metadata.promptTokens ?: 0,
             call.expectedEvents,
-            dueAtMs = call.dueAtMs,
+            dueAtMs = dueAtMs(state),
             startByMs = startByMs(state),
             avoid,
             maxRetryAfterMs = (call.deadlineAtMs - clock.nowMs()) / RETRY_AFTER_DIVISOR,
@@ -150,6 +150,13 @@
         )
     }
 
+    /**
+     * The latency target is for the first event. A stream that is resumed has met it or not, and
+     * does not yield to requests that have received nothing yet.
+     */
+    private fun dueAtMs(state: State): Long =
+        if (state.relay.isStarted) state.call.deadlineAtMs else state.call.dueAtMs
+
     /**
      * Returns the latest time at which sending is still useful, so that a first event can arrive
      * before the caller gives up.
@@ -418,9 +425,10 @@
                     state.relay
                 )
             }
+            val notResumed = state.refusal?.let { ", not resumed: ${it.reason}" }.orEmpty()
             return ForwardingResult(
                 OK,
-                "stream broke off: ${last ?: unansweredReason()}",
+                "stream broke off: ${last ?: unansweredReason()}$notResumed",
                 isConnectionReusable = false,
                 hasNotRun = false,
                 state.relay
