Admit requests of an account by the same threshold, whatever their size

Callers of an account that asks for more than its quota saw nearly all of its large requests refused with 429, while small ones were served.

Each request needed its own units of a bucket that is near empty all the time, so small requests took each refill before it reached what a large one needs.

Now every request needs the mean units of the account's latest requests on the host. What passes is deducted in full and may leave a debt, and the time to return and the leases follow from the same threshold. The log lines near the quota tell the threshold.

refillOfTheTimeWithoutTotalsIsKept presumed that each request needs its own units: 1,000 of 500 were refused, then 450 of 600 granted. It now spends 500 of 500 twice, so that no unit of the refill may be missing, which is as strict.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -60,7 +60,8 @@
             "near quota", requestId, "account" to account, "units" to units,
             "granted" to isGranted,
             "level" to state.level.toLong(), "lease" to state.lease.toLong(),
-            "unreported" to state.unreported.toLong(), "burst" to state.burst.toLong(),
+            "unreported" to state.unreported.toLong(), "threshold" to state.threshold.toLong(),
+            "burst" to state.burst.toLong(),
             "rateShare" to state.knowledge.rateShare, "updateAgeMs" to state.updateAgeMs,
             "updateFrom" to state.source
         )
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
@@ -1,6 +1,8 @@
 package org.bronzetide.edge.peer
 
+import kotlin.random.Random
 import net.jqwik.api.Disabled
+import net.jqwik.api.Example
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.assertj.core.api.Assertions.assertThat
@@ -20,6 +22,9 @@
     private var smallRequests = 0
     private var smallRefusals = 0
 
+    /** The units of the requests of the account that floods, and whether they were granted. */
+    private val requests = ArrayList<Pair<Long, Boolean>>()
+
     private class Grant(val atMs: Long, val units: Long)
 
     /** Guards against a flood that begins on many hosts before they hear of each other's grants. */
@@ -121,6 +126,29 @@
         assertThatGrantsAreWithinTheBound()
     }
 
+    /** Guards against large requests that starve beside small ones, as the hosts know of them. */
+    @Example
+    fun largeRequestsOfAFloodAreGrantedAsOftenAsSmallOnes() =
+        assertThatSizesAreServedAlike { flood(20_000, MODERATE_FACTOR, ::widelySpread) }
+
+    /** Guards against the same while each host has only its share of the quota. */
+    @Example
+    fun largeRequestsAreGrantedAsOftenAsSmallOnesWhileHostsAreIsolated() =
+        assertThatSizesAreServedAlike {
+            hosts.forEach { it.isIsolated = true }
+            flood(20_000, MODERATE_FACTOR, ::widelySpread)
+        }
+
+    /** Guards against the same while hosts that started know little of an account. */
+    @Example
+    fun largeRequestsAreGrantedAsOftenAsSmallOnesAfterARestartOfAllHosts() =
+        assertThatSizesAreServedAlike {
+            flood(4_000, MODERATE_FACTOR, ::widelySpread)
+            network.restartAll()
+            requests.clear()
+            flood(16_000, MODERATE_FACTOR, ::widelySpread)
+        }
+
     private fun startMany(seed: Long) = start(seed, hostCount = 72)
 
     private fun start(seed: Long, hostCount: Int, lossShare: Double = 0.02) {
@@ -133,7 +161,11 @@
     }
 
     /** An account asks for [factor] times its quota, another one for a fifth, on all hosts. */
-    private fun flood(durationMs: Long, factor: Double = FLOOD_FACTOR) {
+    private fun flood(
+        durationMs: Long,
+        factor: Double = FLOOD_FACTOR,
+        unitsOf: (Random) -> Long = ::ofUsualSize
+    ) {
         refusals.clear()
         val quotaChance =
             PeerNetwork.QUOTA_PER_S * PeerNetwork.STEP_MS / (1_000 * MEAN_UNITS * hosts.size)
@@ -141,8 +173,10 @@
             network.run(PeerNetwork.STEP_MS)
             hosts.forEach { host ->
                 if (network.random.nextDouble() < quotaChance * factor) {
-                    val units = network.random.nextLong(MIN_UNITS, MAX_UNITS)
-                    if (host.admits(units)) {
+                    val units = unitsOf(network.random)
+                    val isGranted = host.admits(units)
+                    requests += units to isGranted
+                    if (isGranted) {
                         grants += Grant(network.clock.nowMs(), units)
                     } else {
                         refusals.merge(host.name, 1, Int::plus)
@@ -166,12 +200,34 @@
         assertThat(most.toDouble()).isLessThan(allowed)
     }
 
+    /** Over several runs of [flood] on many hosts, as the largest tenth is few requests. */
+    private fun assertThatSizesAreServedAlike(flood: () -> Unit) {
+        val isGranted = (1L..4L).flatMap { seed ->
+            startMany(seed)
+            requests.clear()
+            flood()
+            requests.toList()
+        }
+        val bySize = isGranted.sortedBy { it.first }.map { it.second }
+        val share = bySize.shareGranted()
+        assertThat(bySize.takeLast(bySize.size / 10).shareGranted()).isGreaterThan(0.8 * share)
+        assertThat(bySize.take(bySize.size / 2).shareGranted()).isGreaterThan(0.8 * share)
+    }
+
+    private fun List<Boolean>.shareGranted() = count { it }.toDouble() / size
+
+    private fun ofUsualSize(random: Random) = random.nextLong(MIN_UNITS, MAX_UNITS)
+
+    /** 700 to 70,000 units, on average a little more than [MEAN_UNITS]; some exceed the burst. */
+    private fun widelySpread(random: Random) = (700 / random.nextDouble(0.01, 1.0)).toLong()
+
     private fun assertThatSmallAccountIsServed() {
         assertThat(smallRefusals).describedAs("of $smallRequests").isZero()
     }
 
     private companion object {
         const val FLOOD_FACTOR = 9.0
+        const val MODERATE_FACTOR = 4.0
         const val SMALL_SHARE = 0.2
         const val MIN_UNITS = 500L
         const val MAX_UNITS = 5_500L
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -5,7 +5,13 @@
  *
  * While the grants of the others are known, that is all that the level leaves after the grants that
  * are estimated but not reported yet. While they are unknown it is the lease: the host's share of
- * what was left when totals stopped to arrive, and of the refill since. Single-threaded.
+ * what was left when totals stopped to arrive, and of the refill since.
+ *
+ * Every request of the account needs the same [threshold] to be available, and is deducted in
+ * full, which may leave a debt. If each needed its own units, small requests would use up the
+ * refill of an account that floods before it ever reached what a large one needs.
+ *
+ * Single-threaded.
  */
 internal class QuotaBucket(
     perSecond: Double,
@@ -31,15 +37,25 @@
     var lastUnits = 0L
         private set
 
-    /** The units of the last request if it was refused. The lease may grow up to them. */
+    /** The [threshold] of the last request if it was refused. The lease may grow up to it. */
     private var wanted = 0.0
 
+    /** The mean units of the latest requests, granted or refused. */
+    private var usualUnits = 0.0
+    private var requestCount = 0
+
     /** What this host may spend while it knows the grants of all others that report. */
     val spendable: Double get() = minOf(level, lease)
 
     /** The time in which an empty bucket is filled, in milliseconds. */
     val fillTimeMs: Long get() = (burst / perSecond * MS_PER_S).toLong()
 
+    /**
+     * The units that must be available for a request of any size: what the account usually asks
+     * for, so that a grant leaves nothing of them on average.
+     */
+    val threshold: Double get() = minOf(usualUnits, burst)
+
     /** Changes the quota. What was spent of the earlier one stays spent. */
     fun resize(perSecond: Double, burst: Double) {
         this.perSecond = perSecond
@@ -49,10 +65,13 @@
     }
 
     /**
-     * The time until [needed] units may be spent, in milliseconds, or 0 if they may be now. The
-     * others have likely granted [unreported] units that are not deducted yet.
+     * The time until a request of [units] may be granted, in milliseconds, or 0 if it may be now.
+     * The others have likely granted [unreported] units that are not deducted yet.
      */
-    fun waitMs(needed: Double, unreported: Double, knowledge: PeerKnowledge): Long {
+    fun waitMs(units: Long, unreported: Double, knowledge: PeerKnowledge): Long {
+        // Nothing is known of the account at its first request but that request.
+        val isFirst = requestCount == 0
+        val needed = if (isFirst) minOf(units.toDouble(), burst * FIRST_SHARE) else threshold
         val missing = when (knowledge) {
             is PeerKnowledge.Current -> needed - (spendable - unreported)
 
@@ -68,17 +87,24 @@
         return (missing * MS_PER_S / (perSecond * knowledge.rateShare)).toLong() + 1
     }
 
-    /** Lets the lease grow up to the [needed] units of a request that was refused. */
-    fun onRefused(needed: Double) {
-        wanted = needed
+    /** Lets the lease grow up to the [threshold], as a request of [units] is refused. */
+    fun refuse(units: Long) {
+        addToMean(units)
+        wanted = threshold
     }
 
-    /** Deducts the [units] of a request that is granted. */
+    /** Deducts the [units] of a request that is granted, which may leave a debt. */
     fun consume(units: Long) {
         level -= units
         lease -= units
         lastUnits = units
         wanted = 0.0
+        addToMean(units)
+    }
+
+    private fun addToMean(units: Long) {
+        requestCount = minOf(requestCount + 1, MEAN_REQUESTS)
+        usualUnits += (units - usualUnits) / requestCount
     }
 
     /** Returns the [units] of a request that no target ran. */
@@ -110,6 +136,12 @@
     }
 
     private companion object {
+        /** The most of the burst that a first request needs, as its account is mostly sound. */
+        const val FIRST_SHARE = 0.1
+
+        /** Requests that the mean goes back; with so many, an outlier moves it by little. */
+        const val MEAN_REQUESTS = 50
+
         /** The part of a full share that must be left for a request that overdraws it. */
         const val MIN_SHARE_LEFT = 0.5
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -93,7 +93,8 @@
 
     /**
      * Consumes [units] of the quota of [account] and returns `null`, or returns the time in
-     * milliseconds after which that many may be available.
+     * milliseconds after which a request of the account may be granted. The size of a request
+     * decides neither whether it is granted nor when to return, unless it is the account's first.
      *
      * The quota is [quotaPerSecond] units per second with bursts of [burst] units; a rate of 0
      * means no limit. All hosts together may grant up to [slack] units more in each window of
@@ -120,10 +121,10 @@
         }
         bucket.resize(perSecond, burst)
         bucket.refill(nowMs, knowledge)
-        val needed = minOf(units.toDouble(), burst)
-        val waitMs = bucket.waitMs(needed, unreportedByPeers(account, bucket, nowMs), knowledge)
+        val unreportedUnits = unreportedByPeers(account, bucket, nowMs)
+        val waitMs = bucket.waitMs(units, unreportedUnits, knowledge)
         if (waitMs > 0) {
-            bucket.onRefused(needed)
+            bucket.refuse(units)
             return waitMs
         }
         bucket.consume(units)
@@ -152,7 +153,16 @@
     public fun stateOf(account: String, nowMs: Long): State? = buckets[account]?.let {
         val unreported = unreportedByPeers(account, it, nowMs)
         val ageMs = nowMs - lastUpdateAtMs
-        State(it.level, it.lease, unreported, it.burst, knowledge, ageMs, lastSource)
+        State(
+            it.level,
+            it.lease,
+            unreported,
+            it.threshold,
+            it.burst,
+            knowledge,
+            ageMs,
+            lastSource
+        )
     }
 
     /** The units above which grants of [account] are announced early, or `null` if unknown. */
@@ -209,6 +219,8 @@
         val lease: Double,
         /** The estimate of what the others have granted since their last totals. */
         val unreported: Double,
+        /** The units that must be available for the next request, whatever its size. */
+        val threshold: Double,
         val burst: Double,
         val knowledge: PeerKnowledge,
         /** The time since the last totals of the other hosts, in milliseconds. */
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -45,11 +45,11 @@
     fun refillOfTheTimeWithoutTotalsIsKept() {
         val quotas = QuotaLimiter()
         quotas.onPeerTotals("hub", mapOf("a" to 0L), 0)
-        quotas.tryConsume("a", 1_000.0, 1_000.0, 1_000, 0)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 500, 0)).isNull()
         quotas.updateKnowledge(PeerKnowledge.Unknown(hostCount = 10), 100)
         quotas.onPeerTotals("hub", mapOf("a" to 400L), 900)
         quotas.updateKnowledge(PeerKnowledge.Current(), 900)
-        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 450, 900)).isNull()
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 500, 900)).isNull()
     }
 
     /** Guards against accounts far below their quota that are refused while totals are late. */
@@ -74,6 +74,50 @@
         assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 300, 30_000)).isNull()
     }
 
+    /** Guards against large requests that starve beside small ones, at 4 and 9 times the quota. */
+    @Property(tries = 10)
+    fun largeRequestsOfAFloodAreGrantedAsOftenAsSmallOnes(@ForAll seed: Long) {
+        val random = Random(seed)
+        val quotas = QuotaLimiter()
+        val perSecond = 60_000.0
+        for (factor in listOf(4, 9)) {
+            val isGranted = ArrayList<Pair<Long, Boolean>>()
+            for (nowMs in 0L..200_000 step 5) {
+                // 700 to 70,000 units, 3,256 on average; some are larger than the burst.
+                if (random.nextDouble() >= perSecond * factor * 5 / 3_256_000) continue
+                val units = (700 / random.nextDouble(0.01, 1.0)).toLong()
+                val waitMs = quotas.tryConsume("a$factor", perSecond, perSecond, units, nowMs)
+                isGranted += units to (waitMs == null)
+            }
+            val bySize = isGranted.sortedBy { it.first }.map { it.second }
+            val share = bySize.count { it }.toDouble() / bySize.size
+            val largest = bySize.takeLast(bySize.size / 10)
+            val smallest = bySize.take(bySize.size / 2)
+            assertThat(largest.count { it }.toDouble() / largest.size).isGreaterThan(0.8 * share)
+            assertThat(smallest.count { it }.toDouble() / smallest.size).isGreaterThan(0.8 * share)
+        }
+    }
+
+    /** Guards against a rare large request that keeps the small ones of its account out. */
+    @Example
+    fun largeRequestRaisesTheThresholdOfOthersByLittle() {
+        val quotas = QuotaLimiter()
+        repeat(50) { quotas.tryConsume("a", 1_000.0, 1_000.0, 10, it * 10L) }
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 2_000, 500)).isNull()
+        assertThat(quotas.stateOf("a", 500)!!.threshold).isLessThan(51.0)
+    }
+
+    /** Guards against a time to return by which a large request finds the refill taken again. */
+    @Example
+    fun timeToReturnDoesNotDependOnTheSizeOfTheRequest() {
+        val waitMs = listOf(10L, 900L).map { units ->
+            val quotas = QuotaLimiter()
+            repeat(10) { quotas.tryConsume("a", 1_000.0, 1_000.0, 50, 0) }
+            quotas.tryConsume("a", 1_000.0, 1_000.0, units, 0)
+        }
+        assertThat(waitMs[0]).isNotNull().isEqualTo(waitMs[1])
+    }
+
     /** An account floods all hosts, which learn of each other late and lose some updates. */
     @Property(tries = 50)
     fun sumOverAllHostsStaysNearTheQuota(@ForAll seed: Long) {
