Bound what one request of absurd size does to its account's quota

A request whose stated size is far beyond the burst raised the account's threshold to the whole burst for some 490 further requests on that host, and its debt had no bound: of 4e9 units at 1,000 a second, 46 days on a host without peers.

Now a request counts in the mean as at most the burst, and the host's own grants leave at most the debt that those of others may.

accountIsServedAgainSoonAfterARequestFarBeyondItsBurst failed before (threshold 1,000, expected less than 51).

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -56,6 +56,8 @@
      */
     val threshold: Double get() = minOf(usualUnits, burst)
 
+    private val maxDebt: Double get() = burst + perSecond * MAX_DEBT_S
+
     /** Changes the quota. What was spent of the earlier one stays spent. */
     fun resize(perSecond: Double, burst: Double) {
         this.perSecond = perSecond
@@ -95,8 +97,8 @@
 
     /** Deducts the [units] of a request that is granted, which may leave a debt. */
     fun consume(units: Long) {
-        level -= units
-        lease -= units
+        level = (level - units).coerceAtLeast(-maxDebt)
+        lease = (lease - units).coerceAtLeast(-maxDebt)
         lastUnits = units
         wanted = 0.0
         addToMean(units)
@@ -104,7 +106,8 @@
 
     private fun addToMean(units: Long) {
         requestCount = minOf(requestCount + 1, MEAN_REQUESTS)
-        usualUnits += (units - usualUnits) / requestCount
+        // More than the burst does not raise the threshold further, so does not raise the mean.
+        usualUnits += (minOf(units.toDouble(), burst) - usualUnits) / requestCount
     }
 
     /** Returns the [units] of a request that no target ran. */
@@ -117,7 +120,6 @@
     fun consumeForPeers(units: Long, nowMs: Long, knowledge: PeerKnowledge) {
         // Refills first: after a long gap, the debt limit could otherwise cut off some units.
         refill(nowMs, knowledge)
-        val maxDebt = burst + perSecond * MAX_DEBT_S
         level = (level - units).coerceIn(-maxDebt, burst)
         lease = (lease - units).coerceIn(-maxDebt, burst)
     }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -107,6 +107,16 @@
         assertThat(quotas.stateOf("a", 500)!!.threshold).isLessThan(51.0)
     }
 
+    /** Guards against one request of absurd size that locks its account out for minutes. */
+    @Example
+    fun accountIsServedAgainSoonAfterARequestFarBeyondItsBurst() {
+        val quotas = QuotaLimiter()
+        repeat(50) { quotas.tryConsume("a", 1_000.0, 1_000.0, 10, it * 10L) }
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 4_000_000_000, 500)).isNull()
+        assertThat(quotas.stateOf("a", 500)!!.threshold).isLessThan(51.0)
+        assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 10, 8_000)).isNull()
+    }
+
     /** Guards against a time to return by which a large request finds the refill taken again. */
     @Example
     fun timeToReturnDoesNotDependOnTheSizeOfTheRequest() {
