Memory: a body that gives up its wait no longer blocks those behind it

When memory for bodies was short, requests with small enough bodies were refused with `body budget` although there was room for them.

Cause: bodies wait in order of arrival. When the first one's time was over, it left the line, but the next ones were looked at only when some body was released.

Evidence: ByteCreditsTest.thoseBehindALargeOneThatGaveUpAreGrantedAtOnce failed before: no place for 10 of 50 free bytes within a second after the one before it had given up.

Now those behind one that gives up are looked at at once, in the same order. What is held at a time is bounded as before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/memory/ByteCredits.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/memory/ByteCredits.kt
@@ -25,7 +25,7 @@
             isTaken = true
             return waiter.grant
         } finally {
-            if (!isTaken && !waiting.remove(waiter)) waiter.grant.close()
+            if (!isTaken) giveUp(waiter)
         }
     }
 
@@ -36,6 +36,11 @@
         return Grant(bytes)
     }
 
+    private fun giveUp(waiter: Waiter) {
+        val isGranted = !waiting.remove(waiter)
+        if (isGranted) waiter.grant.close() else grantNext()
+    }
+
     private fun grantNext() {
         while (true) {
             val next = waiting.firstOrNull() ?: return
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/memory/ByteCreditsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/memory/ByteCreditsTest.kt
@@ -1,10 +1,12 @@
 package org.bronzetide.edge.memory
 
 import kotlin.random.Random
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import net.jqwik.api.Example
 import net.jqwik.api.ForAll
@@ -30,6 +32,19 @@
         assertThat(credits.heldBytes).isZero()
     }
 
+    /** Guards against small bodies that wait in vain behind a large one that has given up. */
+    @Example
+    fun thoseBehindALargeOneThatGaveUpAreGrantedAtOnce() = runBlocking {
+        val credits = ByteCredits(100)
+        val first = credits.acquire(50, 10)!!
+        val large = launch { assertThat(credits.acquire(90, 20)).isNull() }
+        yield()
+        val small = async { credits.acquire(10, 2_000) }
+        large.join()
+        assertThat(withTimeoutOrNull(1_000) { small.await() }).isNotNull()
+        first.close()
+    }
+
     @Example
     fun moreThanAllIsGrantedAlone() = runBlocking {
         val credits = ByteCredits(100)
