Log connections that this host closes, and whether input was unread by then

Cause: a close of an idle connection, for a drain or after a failure left no line.

Evidence: IdleConnectionTest.closesByTheHostAreLogged (idle and drain); there was no such line before. A close after a failure has no test of its line.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -37,6 +37,12 @@
 ) {
     private val guard = RequestGuard(connection, dependencies)
 
+    /** The id of the latest request on the connection whose head was read. */
+    private var lastRequestId: String? = null
+
+    /** Why this host closes the connection before the caller expects that, or `null`. */
+    private var closeReason: String? = null
+
     /** The components that all sessions share. */
     class Dependencies(
         val clock: MonotonicClock,
@@ -58,6 +64,7 @@
     suspend fun run() {
         try {
             while (serveNext()) Unit
+            closeReason?.let(::logClose)
             connection.closeAfterFlush()
         } catch (cause: MalformedMessageException) {
             logMalformed(null, cause)
@@ -80,10 +87,19 @@
             refuseAndClose(REQUEST_TIMEOUT)
             return false
         }
+        lastRequestId = request.headers[PlatformHeaders.REQUEST_ID]
         val exchange = RequestGuard.Exchange(request, arrivedAtMs)
-        return dependencies.inFlightRequests.track {
+        val mayContinue = dependencies.inFlightRequests.track {
             guard.run(exchange) { serve(exchange, limits) }
         }
+        if (!mayContinue && request.isKeepAlive) {
+            closeReason = when {
+                exchange.hasFailed -> "failure"
+                isClosing -> "drain"
+                else -> null
+            }
+        }
+        return mayContinue
     }
 
     /**
@@ -105,9 +121,24 @@
             withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { arrival.join() }
         }
         idleCloser.cancel()
-        if (arrival.isCancelled) connection.hasInput else arrival.await()
+        if (!arrival.isCancelled) return@coroutineScope arrival.await()
+        if (!connection.hasInput) closeReason = if (isClosing) "drain" else "idle"
+        closeReason == null
     }
 
+    private val isClosing: Boolean
+        get() = dependencies.inFlightRequests.run { isDraining || isClosed }
+
+    /** Logs a close by this host, and whether bytes that get no answer have arrived by then. */
+    private fun logClose(reason: String) = dependencies.log.request(
+        "connection closed",
+        null,
+        "reason" to reason,
+        "unreadInput" to connection.hasInput,
+        "lastRequestId" to lastRequestId,
+        "caller" to connection.remoteAddress
+    )
+
     private suspend fun serve(exchange: RequestGuard.Exchange, limits: CallerLimits): Boolean {
         val request = exchange.request
         if (request.headers.sumOf { it.name.length + it.value.length + HEADER_OVERHEAD_BYTES } >
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestGuard.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestGuard.kt
@@ -32,6 +32,9 @@
         /** The request once it is admitted, which consumed units of its account's quota. */
         var call: Call? = null
 
+        /** Whether something was thrown in the path of the request. */
+        var hasFailed = false
+
         /** Whether the end of the request was logged. */
         var isEndLogged = false
 
@@ -46,6 +49,7 @@
     suspend fun run(exchange: Exchange, serve: suspend () -> Boolean): Boolean = try {
         serve()
     } catch (cause: Throwable) {
+        exchange.hasFailed = true
         // The end must also be written when the process stops, which cancels this coroutine.
         val mayContinue = withContext(NonCancellable) { end(exchange, cause) }
         mayContinue && currentCoroutineContext().isActive
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/IdleConnectionTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/IdleConnectionTest.kt
@@ -1,12 +1,17 @@
 package org.bronzetide.edge.entry
 
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.coroutines.EmptyCoroutineContext
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.edge.standin.SessionServer
 import org.bronzetide.platform.fleet.CallerLimits
+import org.slf4j.LoggerFactory
 
 /**
  * When idle connections of callers are closed. Guards against requests that were read and whose
@@ -55,6 +60,29 @@
         assertThat(socket.getInputStream().read()).isEqualTo(-1)
     }
 
+    /** Guards against closes that cannot be told from a request that was cut without an answer. */
+    @Example
+    fun closesByTheHostAreLogged() {
+        val lines = ListAppender<ILoggingEvent>().apply { list = CopyOnWriteArrayList() }
+        val logger = LoggerFactory.getLogger("decisions") as Logger
+        logger.addAppender(lines.apply { start() })
+        try {
+            connected { assertThat(it.getInputStream().read()).isEqualTo(-1) }
+            connected { socket ->
+                Thread.sleep(100)
+                server.inFlightRequests.closeIdleConnections()
+                assertThat(socket.getInputStream().read()).isEqualTo(-1)
+            }
+        } finally {
+            logger.detachAppender(lines)
+        }
+        val closes = lines.list.filter { it.message == "connection closed" }.map { line ->
+            line.keyValuePairs.filter { it.key == "reason" || it.key == "unreadInput" }
+                .map { "${it.value}" }
+        }
+        assertThat(closes).containsExactly(listOf("idle", "false"), listOf("drain", "false"))
+    }
+
     private fun connected(block: (Socket) -> Unit) =
         Socket("127.0.0.1", server.port).use { socket ->
             socket.soTimeout = 5_000
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/CallerConnection.kt
@@ -52,6 +52,9 @@
     private val input = socket.input
     private val output = socket.output
 
+    /** The address and port of the caller's end, or `null` if the connection is closed. */
+    public val remoteAddress: String? get() = socket.remoteAddress
+
     /** How far the response to the current request has got. */
     public var responseProgress: ResponseProgress = ResponseProgress.NONE
         private set
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -80,6 +80,15 @@
             false
         }
 
+    /** The address and port of the peer, or `null` if the connection is closed. */
+    internal val remoteAddress: String?
+        get() = try {
+            channel.remoteAddress?.toString()?.removePrefix("/")
+        } catch (_: IOException) {
+            // A closed channel has none.
+            null
+        }
+
     override fun close() {
         channel.close()
         readiness.close()
