Do not take a break of a caller's connection for its target's

Callers would see nothing of it; targets ran streams again for callers that had left, were counted as failed, and lost their idle connections.

Cause: TargetClient.complete takes each IOException for the target's, and relaying writes to the caller within it. The session's watcher mostly cancels first, but not once bytes of a next request have arrived.

Change: CallerConnectionException passes through, so that the request ends as 499, as the session already does for it.

Evidence: BrokenCallerTest, a caller that resets its connection after three events. Before: "Expected size: 1 but was: 2" arrivals at targets, both logged as "send failed", "broke off: Connection reset by peer". Now one arrival.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -5,6 +5,7 @@
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.memory.ResponseMemory
 import org.bronzetide.edge.state.Departures
+import org.bronzetide.http.CallerConnectionException
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Framing
 import org.bronzetide.http.Header
@@ -120,6 +121,8 @@
     /**
      * Reads the rest of the response that [beginning] has begun, and relays it if it streams. The
      * memory of a body that is not streamed is added to [bodies], to be closed by the caller.
+     *
+     * @throws CallerConnectionException if relaying to the caller fails.
      */
     suspend fun complete(
         call: Call,
@@ -137,6 +140,9 @@
             }
             isReleased = tryRelease(call, target, beginning.connection, response)
             return attempt
+        } catch (cause: CallerConnectionException) {
+            // The target is not to blame, and no other one could serve the caller.
+            throw cause
         } catch (cause: IOException) {
             return brokenOff(target, cause)
         } finally {
