Write no second response after a head that was half written

Callers would see: a 502, 503 or 504 in the middle of the head of a stream, and a connection that stays open after it.

Cause: the forwarder asks the relay whether a response has begun, and the relay says so only once the head is flushed. If the time ends while the head waits for a caller that does not read, it counts as not begun.

Change: the connection's own progress decides; it has begun before its first byte.

Evidence: BrokenCallerTest, a caller that reads nothing of pipelined streams with long heads until their time is over. Before, it got an HTTP/1.1 504 among the bytes of a 200. Now it gets the cut 200 and the end of the connection.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -6,6 +6,7 @@
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
 import org.bronzetide.http.Header
+import org.bronzetide.http.ResponseProgress
 import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
@@ -414,7 +415,8 @@
 
     private suspend fun finish(state: State): ForwardingResult {
         val last = state.lastResult
-        if (state.relay.isStarted) {
+        // The time may have ended within the head of a stream, which no other response may follow.
+        if (state.caller.responseProgress != ResponseProgress.NONE) {
             if (last is SendResult.Streamed) {
                 state.caller.finishResponse()
                 return ForwardingResult(
