Return the units of a request whose caller left before it was sent

An account was charged for requests that waited for a target while their callers left: the end of such a request counted as possibly run, whatever had been sent. Found by review. Whether it has run now follows from the record of its runs, and a stream whose head alone was written tells no time of a first event.

callerThatLeavesTheQueueGetsItsUnitsBack failed before (timed out after 5 s).

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -277,8 +277,8 @@
                     ForwardingResult(
                         CLIENT_CLOSED_REQUEST,
                         "caller's connection broke: ${cause.message}",
-                        false,
-                        false
+                        isConnectionReusable = false,
+                        call.runs.hasNotRun
                     )
                 }
             }
@@ -296,7 +296,7 @@
                     CLIENT_CLOSED_REQUEST,
                     "caller left",
                     isConnectionReusable = false,
-                    hasNotRun = false
+                    call.runs.hasNotRun
                 )
             } finally {
                 disconnectWatcher.cancel()
@@ -323,6 +323,7 @@
         val reason = result.reason.substringBefore(':').substringBefore('(')
         dependencies.metrics.onRequestEnd(call.priority, result.status, reason, tookMs)
         val outcome = when {
+            result.status == CLIENT_CLOSED_REQUEST -> SizeMetrics.Outcome.FAILED
             result.hasNotRun -> SizeMetrics.Outcome.REFUSED
             result.isConnectionReusable && result.status < MIN_ERROR -> SizeMetrics.Outcome.SERVED
             else -> SizeMetrics.Outcome.FAILED
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -433,7 +433,7 @@
                 "stream broke off: ${last ?: unansweredReason()}$notResumed",
                 isConnectionReusable = false,
                 hasNotRun = false,
-                state.relay
+                state.relay.takeIf { it.eventCount > 0 }
             )
         }
         if (last is SendResult.Answer) {
