Decode and log the limit that a target names

The limit is now decoded, kept by the scheduler, logged as 'target limit' when it changes, and shown on the status page. Nothing follows it yet.

Only a single decimal number above 0 names a limit. A response without one ends it if it was certainly made by the target itself; malformed values and 421 change nothing. Responses may overtake each other, so of two whose order is unknown the tighter limit holds.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -186,6 +186,7 @@
             firstManifest.complete(Unit)
         }
         control.post {
+            scheduler.limits.onChange = ::logLimitChange
             fleet.start()
             control.timers.every(MAINTENANCE_INTERVAL_MS) {
                 pool.evictStale()
@@ -214,6 +215,13 @@
         )
     }
 
+    private fun logLimitChange(targetId: String, perSecond: Double?) = log.stateChange(
+        "target limit",
+        "target" to targetId,
+        "perSecond" to (perSecond ?: "none"),
+        "inProgress" to scheduler.views(clock.nowMs()).find { it.id == targetId }?.ownCount
+    )
+
     private fun registerGauges() {
         metrics.gauge("bronzetide.edge.requests.inside") { inFlightRequests.count }
         metrics.gauge("bronzetide.edge.manifest.version") { manifest()?.version ?: 0 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.platform.fleet.StatedLimit
 import org.bronzetide.platform.fleet.TargetReport
 import org.bronzetide.scheduling.fleet.FleetDecision
 import org.bronzetide.scheduling.fleet.FleetOutcome
@@ -59,9 +60,19 @@
     /** Reports what the target of the ticket with [sequence] said about itself. */
     fun onReport(sequence: Long, report: TargetReport) {
         val nowMs = clock.nowMs()
-        report.load?.let { load ->
-            val inProgress = load.runningCount + load.waitingCount
-            control.post { scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs) }
+        control.post {
+            report.load?.let { load ->
+                val inProgress = load.runningCount + load.waitingCount
+                scheduler.onReportedLoad(sequence, inProgress, load.slowdown, nowMs)
+            }
+            when (val limit = report.limit) {
+                is StatedLimit.PerSecond ->
+                    scheduler.onLimit(sequence, limit.requestsPerSecond, nowMs)
+
+                is StatedLimit.None -> scheduler.onLimit(sequence, null, nowMs)
+
+                is StatedLimit.Unknown -> Unit
+            }
         }
         report.restMs?.let { restMs ->
             control.post {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/StatusPage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/StatusPage.kt
@@ -44,6 +44,7 @@
                     put("leaving", target.isLeaving)
                     put("ejectedForMs", target.ejectedForMs)
                     put("suspectedByPeers", target.isSuspectedByPeers)
+                    target.limitPerSecond?.let { put("limitPerSecond", it) }
                 }
             }
         }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -19,6 +19,9 @@
 
     /** The parts of prompts that crash targets. Requests with such a part are refused. */
     public val poisonParts: PoisonPartDetector = PoisonPartDetector()
+
+    /** The limits on requests that targets have stated. */
+    public val limits: TargetLimits = TargetLimits()
     private var peerDemands: Map<String, Map<Int, Int>> = emptyMap()
 
     /** Decides whether a fraction of a slot counts as a whole one; differs between hosts. */
@@ -74,6 +77,15 @@
         running[sequence]?.load?.rest(untilMs)
     }
 
+    /**
+     * Records that the target of a ticket that was sent takes [perSecond] requests a second from
+     * all hosts together, or any number if that is `null`.
+     */
+    public fun onLimit(sequence: Long, perSecond: Double?, nowMs: Long) {
+        val run = running[sequence] ?: return
+        limits.onStated(run.load.spec.id, RequestLimit(perSecond, run.sentAtMs, nowMs))
+    }
+
     /** The load of this host on each target, to report to the other hosts. */
     public fun ownLoads(): Map<String, PeerLoad> = targets.filterValues { it.ownCount > 0 }
         .mapValues { PeerLoad(it.value.ownCount, it.value.ownPromptTokens) }
@@ -205,7 +217,8 @@
             it.slowdown.current,
             it.spec.isLeaving,
             (it.ejectedUntilMs - nowMs).coerceAtLeast(0),
-            it.isSuspectedByPeers
+            it.isSuspectedByPeers,
+            limits.perSecond(it.spec.id)
         )
     }
 
@@ -333,7 +346,9 @@
         val isLeaving: Boolean,
         /** The remaining time of an ejection in milliseconds; 0 for none. */
         val ejectedForMs: Long,
-        val isSuspectedByPeers: Boolean
+        val isSuspectedByPeers: Boolean,
+        /** The requests a second that it takes from all hosts together; `null` for no limit. */
+        val limitPerSecond: Double?
     )
 
     /** The load on a target: unfinished requests, and prompt tokens of those without an event. */
