Send to a target with a limit only for permits that one host hands out

A limit holds for all hosts together, and neither a share of a bucket on each host nor totals of what others have sent keep it at 72 hosts: each host may send one request before it hears of the others.

TargetLimits holds what targets have stated and the host's permits; the scheduler sends nothing to a limited target without a permit, whatever the request: first sends, returns, resumed streams and replacements begin with the same decision. StatementExchange carries limits, demands and permits with the reports and summaries that exist. A host that hears of a limit only from its peers follows it too.

Safe when things fail: a permit expires a fixed time after its host asked for it. A limit ends only by a statement that was certainly made later. It outlasts a missing entry, but not the target's start. The permit of a request that was not sent after all is used again (FleetOutcome.UNSENT). The time to return counts what a limited target takes, not its slots.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -52,6 +52,8 @@
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTarget
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.TargetRef
+import org.bronzetide.scheduling.fleet.TargetStart
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /**
@@ -215,11 +217,11 @@
         )
     }
 
-    private fun logLimitChange(targetId: String, perSecond: Double?) = log.stateChange(
+    private fun logLimitChange(target: TargetRef, perSecond: Double?) = log.stateChange(
         "target limit",
-        "target" to targetId,
+        "target" to target.id,
         "perSecond" to (perSecond ?: "none"),
-        "inProgress" to scheduler.views(clock.nowMs()).find { it.id == targetId }?.ownCount
+        "inProgress" to scheduler.views(clock.nowMs()).find { it.id == target.id }?.ownCount
     )
 
     private fun registerGauges() {
@@ -352,7 +354,8 @@
         entry.availabilityZone,
         entry.slots,
         entry.isLeaving || entry in departures,
-        isEngine = manifest()?.services?.get(entry.service)?.engine != null
+        isEngine = manifest()?.services?.get(entry.service)?.engine != null,
+        start = TargetStart(entry.startHash)
     )
 
     private companion object {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -195,7 +195,7 @@
             isSlotInUse = true
             return awaitAttempt(state, targetId) { attempt(state, target, policy) }
         } finally {
-            if (!isSlotInUse) scheduler.release(state.ticketSequence, FleetOutcome.CANCELLED)
+            if (!isSlotInUse) scheduler.release(state.ticketSequence, FleetOutcome.UNSENT)
         }
     }
 
@@ -312,7 +312,7 @@
         val current = state.currentTargetId
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
         val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
-        var outcome = FleetOutcome.CANCELLED
+        var outcome = FleetOutcome.UNSENT
         var mayHaveRun = false
         var isBegun = false
         try {
@@ -322,6 +322,7 @@
             call.runs.onBegin()
             isBegun = true
             mayHaveRun = true
+            outcome = FleetOutcome.CANCELLED
             val beginning = begin(state, target, ticket.sequence, StallPolicy.WaitUntilDeadline)
             when (beginning) {
                 is TargetClient.Beginning.Ended -> {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -45,7 +45,7 @@
         } catch (cause: Throwable) {
             control.post {
                 scheduler.withdraw(ticket.sequence)
-                scheduler.release(ticket.sequence, FleetOutcome.CANCELLED, clock.nowMs())
+                scheduler.release(ticket.sequence, FleetOutcome.UNSENT, clock.nowMs())
             }
             throw cause
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -93,7 +93,7 @@
         if (target in departures) {
             connection.close()
             val result = SendResult.NotRun("target is leaving")
-            return Beginning.Ended(Attempt(result, FleetOutcome.CANCELLED))
+            return Beginning.Ended(Attempt(result, FleetOutcome.UNSENT))
         }
         var isOpen = false
         try {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -63,6 +63,7 @@
     /** Where reports came from; membership learns of a host that has started only later. */
     private val reporterIps = HashMap<String, String>()
     private val crashEvidence = CrashEvidenceExchange(scheduler.poisonParts, log)
+    private val statementExchange = StatementExchange(scheduler, random)
     private var seeds = settings.seeds
     private val quotaExchange = QuotaExchange(
         self.value,
@@ -238,13 +239,16 @@
 
             chosen == self -> {
                 aggregator.onReport(report, nowMs)
+                val statements = statementExchange.report(self.value, exchangeIntervalMs(), nowMs)
+                statementExchange.onReport(self.value, statements, nowMs)
                 aggregatorUpdateAtMs = nowMs
                 serveAsAggregator(nowMs)
             }
 
             else -> membership.find(chosen)?.let {
                 val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 1)
-                env.send(addressOf(it.host), report.toMessage(crashes))
+                val statements = statementExchange.report(chosen.value, exchangeIntervalMs(), nowMs)
+                env.send(addressOf(it.host), report.toMessage(crashes, statements))
             }
         }
     }
@@ -315,10 +319,17 @@
         val slowdowns = if (includesSlowdowns) aggregator.averageSlowdowns() else emptyMap()
         // Summaries go to all hosts: most runs that a crash ended are sound and never recur.
         val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 2)
+        issuePermits(nowMs)
         aggregator.hosts().forEach { sendSummary(it, slowdowns, crashes) }
         aggregator.onAnnounced()
     }
 
+    private fun issuePermits(nowMs: Long) = statementExchange.issuePermits(
+        quotaExchange.hostCount(nowMs),
+        exchangeIntervalMs(),
+        nowMs
+    )
+
     private fun sendSummary(
         host: String,
         slowdowns: Map<String, Double>,
@@ -334,7 +345,8 @@
             slowdowns.toSlowdownMessages(),
             aggregator.ageMs(clock.nowMs()),
             summary.demands.toDemandMessages(),
-            crashes
+            crashes,
+            statementExchange.summaryFor(host, clock.nowMs())
         )
         if (host == self.value) return onSummary(message)
         reporterIps[host]?.let { env.send(addressOf(it), message) }
@@ -350,9 +362,11 @@
         if (message.isForBackup) {
             return sendGrants(message.host, quotaExchange.totalsFor(message.host))
         }
+        statementExchange.onReport(message.host, message.statements, nowMs)
         message.crashes?.let { crashEvidence.onReceived(it, isReport = true, nowMs) }
         // Hosts that have chosen this one are served even if it has chosen another aggregator.
         if (currentAggregator != self) {
+            issuePermits(nowMs)
             sendSummary(message.host, emptyMap(), crashEvidence.takeDueFor(message.host, nowMs))
         }
     }
@@ -387,6 +401,9 @@
         scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.updateFleetSlowdowns(message.slowdowns.toFactors())
         scheduler.hostCount = hostCount
+        message.statements?.let {
+            statementExchange.onSummary(message.aggregator, it, exchangeIntervalMs(), nowMs)
+        }
         scheduler.decide(nowMs)
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -32,7 +32,8 @@
         @CborLabel(6) val demands: List<Demand> = emptyList(),
         @CborLabel(7) val crashes: Crashes? = null,
         /** Whether it is a copy for the backup, which has quotas only. */
-        @CborLabel(8) val isForBackup: Boolean = false
+        @CborLabel(8) val isForBackup: Boolean = false,
+        @CborLabel(9) val statements: Statements? = null
     ) : PeerMessage()
 
     /** What the others have consumed of quotas, from an aggregator or its backup. */
@@ -60,7 +61,8 @@
         /** How long the aggregator has summed reports, in milliseconds. */
         @CborLabel(7) val aggregatorAgeMs: Long = Long.MAX_VALUE,
         @CborLabel(8) val demands: List<Demand> = emptyList(),
-        @CborLabel(9) val crashes: Crashes? = null
+        @CborLabel(9) val crashes: Crashes? = null,
+        @CborLabel(10) val statements: Statements? = null
     ) : PeerMessage()
 
     /** The requests in progress at a target. */
@@ -118,6 +120,46 @@
     @Serializable
     data class ServedPart(@CborLabel(1) val part: String, @CborLabel(2) val agoMs: Long)
 
+    /** What targets have said of themselves, as far as the receiver may not know it. */
+    @Serializable
+    data class Statements(
+        /** When this was sent, in milliseconds on the sender's clock. */
+        @CborLabel(1) val sentAtMs: Long,
+        /** [sentAtMs] of the latest statements that the sender has got from the receiver. */
+        @CborLabel(2) val repliesToSentAtMs: Long?,
+        @CborLabel(3) val limits: List<Limit> = emptyList(),
+        /** In a report, the requests that the sender would send to limited targets. */
+        @CborLabel(4) val sendDemands: List<SendDemand> = emptyList(),
+        /** In a summary, the permits of the receiver to send to limited targets. */
+        @CborLabel(5) val permits: List<Permits> = emptyList()
+    )
+
+    /** One start of a target. */
+    @Serializable
+    data class Target(@CborLabel(1) val id: String, @CborLabel(2) val start: Int)
+
+    /** A target's limit. It was stated between two moments, this long before the message. */
+    @Serializable
+    data class Limit(
+        @CborLabel(1) val target: Target,
+        /** Thousandths of a request a second, or `null` for no limit. */
+        @CborLabel(2) val perKiloSecond: Long?,
+        @CborLabel(3) val askedAgoMs: Long,
+        @CborLabel(4) val heardAgoMs: Long
+    )
+
+    /** The requests for [service] that wait, and more that are expected soon. */
+    @Serializable
+    data class SendDemand(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val waiting: Int,
+        @CborLabel(3) val expected: Int
+    )
+
+    /** The number of requests that may be sent to a target. */
+    @Serializable
+    data class Permits(@CborLabel(1) val target: Target, @CborLabel(2) val count: Int)
+
     companion object {
         /** CBOR with integer labels as keys. */
         val codec = Cbor {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -2,6 +2,10 @@
 
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.LoadReport
+import org.bronzetide.scheduling.fleet.RequestLimit
+import org.bronzetide.scheduling.fleet.SendDemand
+import org.bronzetide.scheduling.fleet.TargetRef
+import org.bronzetide.scheduling.fleet.TargetStart
 
 /*
  * Converts between the messages of peers and the types of the scheduler. Slowdowns travel as
@@ -9,9 +13,11 @@
  */
 
 private const val PERCENT = 100.0
+private const val MILLI = 1_000.0
 
 internal fun LoadReport.toMessage(
     crashes: PeerMessage.Crashes?,
+    statements: PeerMessage.Statements? = null,
     isForBackup: Boolean = false
 ): PeerMessage.Report = PeerMessage.Report(
     host,
@@ -25,7 +31,8 @@
     },
     demands.toDemandMessages(),
     crashes,
-    isForBackup
+    isForBackup,
+    statements
 )
 
 internal fun PeerMessage.Report.toLoadReport(): LoadReport = LoadReport(
@@ -67,3 +74,32 @@
 /** Returns the slowdowns by target. */
 internal fun List<PeerMessage.Slowdown>.toFactors(): Map<String, Double> =
     associate { it.target to it.percent / PERCENT }
+
+internal fun TargetRef.toMessage(): PeerMessage.Target = PeerMessage.Target(id, start.value)
+
+internal fun PeerMessage.Target.toRef(): TargetRef = TargetRef(id, TargetStart(start))
+
+internal fun RequestLimit.toMessage(target: TargetRef, nowMs: Long): PeerMessage.Limit =
+    PeerMessage.Limit(
+        target.toMessage(),
+        perSecond?.let { (it * MILLI).toLong().coerceAtLeast(1) },
+        nowMs - askedAtMs,
+        nowMs - heardAtMs
+    )
+
+/**
+ * Converts a limit in a message that was sent at [sentAtMs] or later, and has arrived at [nowMs].
+ * If nothing is known of when it was sent, nothing is known of when the target was asked.
+ */
+internal fun PeerMessage.Limit.toRequestLimit(sentAtMs: Long?, nowMs: Long): RequestLimit =
+    RequestLimit(
+        perKiloSecond?.let { it / MILLI },
+        sentAtMs?.let { it - askedAgoMs } ?: Long.MIN_VALUE,
+        nowMs - heardAgoMs
+    )
+
+internal fun Map<String, SendDemand>.toSendDemandMessages(): List<PeerMessage.SendDemand> =
+    map { (service, it) -> PeerMessage.SendDemand(service, it.waiting, it.expected) }
+
+internal fun List<PeerMessage.SendDemand>.toSendDemands(): Map<String, SendDemand> =
+    associate { it.service to SendDemand(it.waiting, it.expected) }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -120,10 +120,10 @@
     }
 
     /**
-     * The number of hosts that share quotas, including those seen recently: an isolated host
-     * considers all others dead and is considered dead by them, while both sides grant quotas.
+     * The number of hosts that share quotas and limits, including those seen recently: an isolated
+     * host considers all others dead and is considered dead by them, while both sides grant quotas.
      */
-    private fun hostCount(nowMs: Long): Int {
+    fun hostCount(nowMs: Long): Int {
         membership.view().filter { it.state != MemberState.DEAD }
             .forEach { lastSeenAtMs[it.host] = nowMs }
         lastSeenAtMs.values.removeIf { nowMs - it > SEEN_HOST_RETENTION_MS }
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/StatementExchange.kt
@@ -0,0 +1,146 @@
+package org.bronzetide.edge.peer
+
+import kotlin.random.Random
+import org.bronzetide.scheduling.fleet.FleetScheduler
+import org.bronzetide.scheduling.fleet.LimitedTarget
+import org.bronzetide.scheduling.fleet.PermitIssuer
+import org.bronzetide.scheduling.fleet.RequestLimit
+import org.bronzetide.scheduling.fleet.TargetRef
+
+/**
+ * Exchanges what targets have said of themselves, so that what one host hears holds on all of them,
+ * and hands out the permits to send to targets with a limit while this host is the aggregator.
+ *
+ * A host reports the limits that it knows; the summary tells it those that it has not reported or
+ * knows otherwise. Messages may be late. The receiver does not know when one was sent, but it was
+ * after the message to which it replies: by that, no limit ends by an outdated statement, and a
+ * permit expires a fixed time after the host has asked for it.
+ *
+ * Confined to the control thread.
+ */
+internal class StatementExchange(
+    private val scheduler: FleetScheduler,
+    private val random: Random
+) {
+    private val issuer = PermitIssuer(random)
+
+    /** Hosts that report here, and aggregators; this host itself may be both. */
+    private val reporters = HashMap<String, Peer>()
+    private val aggregators = HashMap<String, Peer>()
+
+    /** Returns the statements for the report to [aggregator], or `null` if there are none. */
+    fun report(aggregator: String, intervalMs: Long, nowMs: Long): PeerMessage.Statements? {
+        val limits = statedLimits().filterValues {
+            it.perSecond != null || nowMs - it.heardAtMs < END_ANNOUNCEMENT_MS
+        }
+        if (limits.isEmpty()) return null
+        return PeerMessage.Statements(
+            nowMs,
+            aggregators[aggregator]?.sentAtMs,
+            limits.entries.shuffled(random).take(MAX_LIMITS)
+                .map { (target, limit) -> limit.toMessage(target, nowMs) },
+            limitedTargets().map { it.service }.distinct().associateWith {
+                scheduler.sendDemand(it, permitLifetimeMs(intervalMs), nowMs)
+            }.toSendDemandMessages()
+        )
+    }
+
+    /** Handles the statements in the report of [host], as its aggregator. */
+    fun onReport(host: String, statements: PeerMessage.Statements?, nowMs: Long) {
+        val peer = reporters.getOrPut(host) { Peer() }
+        peer.lastMessageAtMs = nowMs
+        peer.limits =
+            statements?.limits.orEmpty().associate { it.target.toRef() to it.perKiloSecond }
+        issuer.onReport(host, statements?.sendDemands.orEmpty().toSendDemands(), nowMs)
+        statements?.let { learn(peer, it, nowMs) }
+    }
+
+    /** Makes permits available to the hosts that report here, of [hostCount] in total. */
+    fun issuePermits(hostCount: Int, intervalMs: Long, nowMs: Long) {
+        reporters.values.removeIf { nowMs - it.lastMessageAtMs > PEER_RETENTION_MS }
+        val reporting = issuer.retainReported(nowMs - reportAgeLimitMs(intervalMs))
+        val share = (reporting.toDouble() / hostCount.coerceAtLeast(1)).coerceAtMost(1.0)
+        issuer.issue(limitedTargets(), share, intervalMs, nowMs)
+    }
+
+    /** Returns the statements for the summary to [host], or `null` if there are none. */
+    fun summaryFor(host: String, nowMs: Long): PeerMessage.Statements? {
+        val peer = reporters[host] ?: return null
+        val news = statedLimits()
+            .map { (target, limit) -> limit.toMessage(target, nowMs) }
+            .filter { it.perKiloSecond != peer.limits[it.target.toRef()] }
+        val permits = issuer.takePermits(host)
+            .map { (target, count) -> PeerMessage.Permits(target.toMessage(), count) }
+        if (news.isEmpty() && peer.sentAtMs == null) return null
+        return PeerMessage.Statements(
+            nowMs,
+            peer.sentAtMs,
+            news.shuffled(random).take(MAX_LIMITS),
+            permits = permits
+        )
+    }
+
+    /** Handles the statements in a summary of [aggregator]. */
+    fun onSummary(
+        aggregator: String,
+        statements: PeerMessage.Statements,
+        intervalMs: Long,
+        nowMs: Long
+    ) {
+        aggregators.values.removeIf { nowMs - it.lastMessageAtMs > PEER_RETENTION_MS }
+        val peer = aggregators.getOrPut(aggregator) { Peer() }
+        val isRepeated = statements.sentAtMs <= (peer.sentAtMs ?: Long.MIN_VALUE)
+        learn(peer, statements, nowMs)
+        val askedAtMs = statements.repliesToSentAtMs
+        if (askedAtMs == null || isRepeated) return
+        statements.permits.forEach {
+            val expiresAtMs = askedAtMs + permitLifetimeMs(intervalMs)
+            scheduler.limits.addPermits(it.target.toRef(), it.count, expiresAtMs)
+        }
+    }
+
+    /** What the known targets have stated; those that never had a limit are left out. */
+    private fun statedLimits(): Map<TargetRef, RequestLimit> =
+        scheduler.targetSpecs.mapNotNull { spec ->
+            scheduler.limits.stated(spec.ref)?.let { spec.ref to it }
+        }.toMap()
+
+    /** The targets with a limit that may get requests. */
+    private fun limitedTargets(): List<LimitedTarget> =
+        scheduler.targetSpecs.filterNot { it.isLeaving }.mapNotNull { spec ->
+            scheduler.limits.perSecond(spec.ref)?.let { LimitedTarget(spec.ref, spec.service, it) }
+        }
+
+    private fun learn(peer: Peer, statements: PeerMessage.Statements, nowMs: Long) {
+        peer.lastMessageAtMs = nowMs
+        peer.sentAtMs = statements.sentAtMs
+        statements.limits.forEach {
+            val limit = it.toRequestLimit(statements.repliesToSentAtMs, nowMs)
+            scheduler.limits.onStated(it.target.toRef(), limit)
+        }
+    }
+
+    private class Peer {
+        /** When its latest statements were sent, on its clock. */
+        var sentAtMs: Long? = null
+        var lastMessageAtMs = 0L
+
+        /** The limits that it has reported, in thousandths of a request a second. */
+        var limits: Map<TargetRef, Long?> = emptyMap()
+    }
+
+    private companion object {
+        /** Some 4 KB; the others follow in later messages. */
+        const val MAX_LIMITS = 100
+
+        /** How long the end of a limit is reported, some of which may be lost. */
+        const val END_ANNOUNCEMENT_MS = 3_000L
+        const val PEER_RETENTION_MS = 60_000L
+
+        /** A report waits for the summary, and requests for a target to be chosen. */
+        fun permitLifetimeMs(intervalMs: Long): Long = 2 * intervalMs + 500
+
+        /** One of two reports may be lost. */
+        fun reportAgeLimitMs(intervalMs: Long): Long = maxOf(intervalMs * 5 / 2, 200)
+    }
+}
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -75,6 +75,7 @@
         private val seed = hosts.firstOrNull { !it.isIsolated }
         private var sequences = 1_000L
         val scheduler = FleetScheduler("z1", Random(index))
+        val target = FleetTarget("t1", "model", "z1", 8, isLeaving = false, isEngine = true)
         private val settings = EdgeTestEnvironment.settings(1, name).copy(
             ip = ip,
             peerPorts = 7_600..7_600,
@@ -96,7 +97,7 @@
         )
 
         init {
-            scheduler.updateTargets(listOf(FleetTarget("t1", "model", "z1", 8, false, true)))
+            scheduler.updateTargets(listOf(target))
         }
 
         fun send(count: Int) = repeat(count) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -33,6 +33,9 @@
      */
     public var hostCount: Int = 1
 
+    /** The known targets. */
+    public val targetSpecs: List<FleetTarget> get() = targets.values.map { it.spec }
+
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -83,7 +86,24 @@
      */
     public fun onLimit(sequence: Long, perSecond: Double?, nowMs: Long) {
         val run = running[sequence] ?: return
-        limits.onStated(run.load.spec.id, RequestLimit(perSecond, run.sentAtMs, nowMs))
+        val limit = RequestLimit(perSecond, run.sentAtMs, nowMs)
+        limits.onStated(run.target, limit)
+    }
+
+    /**
+     * The requests of this host for [service]: those that wait, and those that are expected within
+     * [durationMs] milliseconds, less the permits for its limited targets.
+     */
+    public fun sendDemand(service: String, durationMs: Long, nowMs: Long): SendDemand {
+        val permits = targets.values.inService(service)
+            .sumOf { limits.permitCount(it.spec.ref, nowMs) }
+        val waitingCount = waiting.count(service)
+        val expected = overloadPolicies[service]?.expectedSends(durationMs, nowMs) ?: 0
+        val sparePermits = (permits - waitingCount).coerceAtLeast(0)
+        return SendDemand(
+            (waitingCount - permits).coerceAtLeast(0),
+            (expected - sparePermits).coerceAtLeast(0)
+        )
     }
 
     /** The load of this host on each target, to report to the other hosts. */
@@ -162,7 +182,12 @@
         val run = running.remove(sequence) ?: return
         if (!run.hasFirstEvent) run.load.onFirstEvent(run.ticket.promptTokens)
         run.load.end()
-        run.load.onOutcome(outcome, nowMs) { mayEject(run.load.spec.service, nowMs) }
+        if (outcome == FleetOutcome.UNSENT) {
+            run.permit?.let { limits.returnPermit(run.target, it) }
+        }
+        run.load.onOutcome(outcome, nowMs) {
+            targets.values.inService(run.load.spec.service).mayEjectOne(nowMs)
+        }
         when (outcome) {
             FleetOutcome.ANSWERED -> run.onServed(poisonParts)
             FleetOutcome.CRASHED -> run.onCrash(poisonParts, random.nextLong(), nowMs)
@@ -218,7 +243,7 @@
             it.spec.isLeaving,
             (it.ejectedUntilMs - nowMs).coerceAtLeast(0),
             it.isSuspectedByPeers,
-            limits.perSecond(it.spec.id)
+            limits.perSecond(it.spec.ref)
         )
     }
 
@@ -261,7 +286,10 @@
     }
 
     private fun refuse(ticket: FleetTicket, reason: String, nowMs: Long): FleetDecision {
-        val slots = targets.values.inService(ticket.service).sumOf { it.spec.slots }
+        val slots = targets.values.inService(ticket.service).sumOf { load ->
+            val inUse = limits.perSecond(load.spec.ref)?.let(OverloadPolicy::slotsAt)
+            minOf(load.spec.slots.toDouble(), inUse ?: Double.MAX_VALUE)
+        }
         val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
         val retryAfterMs = overloadPolicyOf(ticket).retryAfterMs(ticket, ahead, slots, nowMs)
         return FleetDecision.Refuse(reason, retryAfterMs)
@@ -271,19 +299,33 @@
         overloadPolicies.getOrPut(ticket.service) { OverloadPolicy(random) }
 
     private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
-        val all = targets.values.inService(ticket.service).usable(nowMs)
-        if (usesOwnShare(ticket.service, rank, all.sumOf { it.spec.slots }, nowMs)) return null
-        val candidates = all.filter { it.count < it.spec.slots }
+        val (limited, others) = targets.values.inService(ticket.service).usable(nowMs)
+            .partition { limits.perSecond(it.spec.ref) != null }
+        // Permits are shares already, and are lost if they are not used.
+        val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
+            others.takeUnless { usesOwnShare(ticket.service, rank, it, nowMs) }.orEmpty()
+        val candidates = free.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
         return sampleOf(unsuspected).minByOrNull { score(it, ticket, nowMs) }
     }
 
-    /** Whether this host already uses its share of [slots] for requests of [rank] and lower. */
-    private fun usesOwnShare(service: String, rank: Int, slots: Int, nowMs: Long): Boolean {
+    /**
+     * Whether this host already uses its share of the slots of [candidates], the targets without a
+     * limit, for requests of [rank] and lower.
+     */
+    private fun usesOwnShare(
+        service: String,
+        rank: Int,
+        candidates: List<TargetLoad>,
+        nowMs: Long
+    ): Boolean {
         val peers = peerDemands[service] ?: return false
+        val slots = candidates.sumOf { it.spec.slots }
         val share = SlotShares(slots, ownDemand(service, nowMs), peers).upTo(rank)
-        val used = running.values.count { it.ticket.service == service && it.rank <= rank }
+        val used = running.values.count {
+            it.ticket.service == service && it.rank <= rank && it.permit == null
+        }
         return used + 1 > share + SHARE_MARGIN_SLOTS + shareRounding
     }
 
@@ -320,18 +362,13 @@
         return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
     }
 
-    private fun mayEject(service: String, nowMs: Long): Boolean {
-        val all = targets.values.inService(service)
-        val ejected = all.count { it.ejectedUntilMs > nowMs }
-        return (ejected + 1) * MAX_EJECTED_DIVISOR <= all.size
-    }
-
     private fun start(ranked: WaitingQueue.RankedEntry, targetId: String, nowMs: Long) {
         val ticket = ranked.entry.ticket
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
         overloadPolicyOf(ticket).onSend(nowMs)
-        running[ticket.sequence] = Run(ticket, ranked.rank, load, nowMs, load.promptTokens)
+        val permit = limits.takePermit(load.spec.ref, nowMs)
+        running[ticket.sequence] = Run(ticket, ranked.rank, load, permit, nowMs, load.promptTokens)
     }
 
     /** The state of a target as known to this host. */
@@ -359,10 +396,14 @@
         /** The rank of the ticket in the queue when it was sent. */
         val rank: Int,
         val load: TargetLoad,
+        /** The permit that it was sent for, if the target has a limit. */
+        val permit: TargetLimits.SendPermit?,
         val sentAtMs: Long,
         /** The prompt tokens to be read at the target, including those of this run. */
         val aheadTokens: Long
     ) {
+        /** The start of the target that it was sent to. */
+        val target: TargetRef = load.spec.ref
         var firstEventAtMs: Long? = null
         val hasFirstEvent: Boolean get() = firstEventAtMs != null
 
@@ -390,12 +431,12 @@
         const val OTHER_ZONE_MS = 2.0
         const val TIE_BREAK_JITTER = 0.1
         const val OUTPUT_WEIGHT = 0.2
-
-        /** At most half of the targets of a service may be ejected at once. */
-        const val MAX_EJECTED_DIVISOR = 2
     }
 }
 
+/** At most half of the targets of a service may be ejected at once. */
+private const val MAX_EJECTED_DIVISOR = 2
+
 /** The targets of [service] that do not leave. */
 private fun Collection<TargetLoad>.inService(service: String): List<TargetLoad> =
     filter { it.spec.service == service && !it.spec.isLeaving }
@@ -411,3 +452,7 @@
     val awake = filter { it.restingUntilMs <= nowMs }
     return awake.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { awake }
 }
+
+/** Whether one more of these targets may be ejected. */
+private fun List<TargetLoad>.mayEjectOne(nowMs: Long): Boolean =
+    (count { it.ejectedUntilMs > nowMs } + 1) * MAX_EJECTED_DIVISOR <= size
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -60,7 +60,10 @@
     CRASHED,
 
     /** The caller disconnected or its time ran out; does not count against the target. */
-    CANCELLED
+    CANCELLED,
+
+    /** The request was not sent after all, so the target does not know of it. */
+    UNSENT
 }
 
 /** A target that requests may be sent to. */
@@ -71,5 +74,16 @@
     val slots: Int,
     val isLeaving: Boolean,
     /** Whether the target is a model engine, which takes time in proportion to prompt length. */
-    val isEngine: Boolean
-)
+    val isEngine: Boolean,
+    val start: TargetStart = TargetStart(0)
+) {
+    /** This start of the target. */
+    public val ref: TargetRef get() = TargetRef(id, start)
+}
+
+/** Tells the starts of a target apart that have the same id. */
+@JvmInline
+public value class TargetStart(public val value: Int)
+
+/** One start of a target. */
+public data class TargetRef(val id: String, val start: TargetStart)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetHealth.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetHealth.kt
@@ -38,7 +38,7 @@
 
         FleetOutcome.GONE, FleetOutcome.CRASHED -> true
 
-        FleetOutcome.REFUSED, FleetOutcome.CANCELLED -> false
+        FleetOutcome.REFUSED, FleetOutcome.CANCELLED, FleetOutcome.UNSENT -> false
     }
 
     /** Ejects the target from [nowMs] on. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
@@ -1,24 +1,85 @@
 package org.bronzetide.scheduling.fleet
 
-/** The limits on requests that targets have stated, as known on one host. Single-threaded. */
+/**
+ * The limits on requests that targets have stated, as known on one host, and the host's permits to
+ * send to these targets.
+ *
+ * A limit holds for all hosts together, so a target that has one gets a request only for a permit,
+ * which one host hands out for all of them ([PermitIssuer]). A permit that is not used in time is
+ * lost. A limit outlasts the target's entry, which may be missing for a while, but not its start.
+ * Single-threaded.
+ */
 public class TargetLimits {
-    private val limits = HashMap<String, RequestLimit>()
+    private val entries = object : LinkedHashMap<TargetRef, Entry>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetRef, Entry>) = size > MAX_ENTRIES
+    }
 
     /**
-     * Called when the limit of a target changes, with its id and the requests a second that it
-     * takes from all hosts together, or `null` if it has no limit any more.
+     * Called when the limit of a target changes, with the requests a second that it takes from all
+     * hosts together, or `null` if it has no limit any more.
      */
-    public var onChange: (targetId: String, perSecond: Double?) -> Unit = { _, _ -> }
-
-    /** Records that the target with [targetId] has stated [limit]. */
-    public fun onStated(targetId: String, limit: RequestLimit) {
-        val before = limits[targetId]
-        if (before == null && limit.perSecond == null) return
-        val after = before?.mergedWith(limit) ?: limit
-        limits[targetId] = after
-        if (after.perSecond != before?.perSecond) onChange(targetId, after.perSecond)
+    public var onChange: (target: TargetRef, perSecond: Double?) -> Unit = { _, _ -> }
+
+    /** Records that [target] has stated [limit]. */
+    public fun onStated(target: TargetRef, limit: RequestLimit) {
+        val entry = entries[target]
+        if (entry == null) {
+            if (limit.perSecond == null) return
+            entries[target] = Entry(limit)
+            return onChange(target, limit.perSecond)
+        }
+        val before = entry.limit
+        entry.limit = before.mergedWith(limit)
+        if (entry.limit.perSecond != before.perSecond) onChange(target, entry.limit.perSecond)
     }
 
+    /** What [target] has stated last, or `null` if it never had a limit. */
+    public fun stated(target: TargetRef): RequestLimit? = entries[target]?.limit
+
     /** The requests a second that a target takes from all hosts together; `null` for no limit. */
-    public fun perSecond(targetId: String): Double? = limits[targetId]?.perSecond
+    public fun perSecond(target: TargetRef): Double? = entries[target]?.limit?.perSecond
+
+    /** Adds [count] permits to send to [target], which expire at [expiresAtMs]. */
+    public fun addPermits(target: TargetRef, count: Int, expiresAtMs: Long) {
+        val entry = entries[target] ?: return
+        repeat(count) { entry.permits.addLast(SendPermit(expiresAtMs)) }
+    }
+
+    /** The number of permits to send to [target]. */
+    internal fun permitCount(target: TargetRef, nowMs: Long): Int =
+        entries[target]?.usablePermits(nowMs)?.size ?: 0
+
+    /** Whether a request may be sent to [target]. */
+    internal fun maySend(target: TargetRef, nowMs: Long): Boolean =
+        perSecond(target) == null || permitCount(target, nowMs) > 0
+
+    /** Takes the permit for a request that is sent to [target]; `null` if it has no limit. */
+    internal fun takePermit(target: TargetRef, nowMs: Long): SendPermit? =
+        if (perSecond(target) == null) {
+            null
+        } else {
+            entries[target]?.usablePermits(nowMs)?.removeFirstOrNull()
+        }
+
+    /** Takes back the permit of a request that was not sent after all. */
+    internal fun returnPermit(target: TargetRef, permit: SendPermit) {
+        entries[target]?.permits?.addFirst(permit)
+    }
+
+    /** A permit to send one request to a target before [expiresAtMs]. */
+    internal class SendPermit(val expiresAtMs: Long)
+
+    private class Entry(var limit: RequestLimit) {
+        val permits = ArrayDeque<SendPermit>()
+
+        fun usablePermits(nowMs: Long): ArrayDeque<SendPermit> {
+            permits.removeAll { it.expiresAtMs <= nowMs }
+            return permits
+        }
+    }
+
+    private companion object {
+        /** Twice the targets of a large deployment. */
+        const val MAX_ENTRIES = 20_000
+    }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -32,6 +32,9 @@
     fun countAtLeastAsUrgent(priority: Int): Int =
         entries.values.count { it.ticket.priority <= priority }
 
+    /** The number of waiting requests of [service]. */
+    fun count(service: String): Int = entries.values.count { it.ticket.service == service }
+
     /** The number of waiting requests of [service] by rank. */
     fun countByRank(service: String, nowMs: Long): Map<Int, Int> =
         entries.values.filter { it.ticket.service == service }
