--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -94,7 +94,7 @@
 internal fun PeerMessage.Limit.toRequestLimit(sentAtMs: Long?, nowMs: Long): RequestLimit =
     RequestLimit(
         perKiloSecond?.let { it / MILLI },
-        sentAtMs?.let { it - askedAgoMs } ?: Long.MIN_VALUE,
+        sentAtMs?.let { it - askedAgoMs } ?: RequestLimit.ASKED_AT_UNKNOWN_MS,
         nowMs - heardAgoMs
     )
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RequestLimit.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RequestLimit.kt
@@ -19,4 +19,9 @@
     }
 
     private val rate: Double get() = perSecond ?: Double.POSITIVE_INFINITY
+
+    public companion object {
+        /** An unknown time of asking: before all others, and far enough from overflowing. */
+        public const val ASKED_AT_UNKNOWN_MS: Long = Long.MIN_VALUE / 2
+    }
 }
