Tell all hosts of a target that leaves

A target says that it leaves in its responses, to the hosts that send to it. Reports and summaries now carry departures of the last 30 s, to each host that has not reported them itself, also to one that starts later.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -34,6 +34,7 @@
 import org.bronzetide.edge.state.ManifestCache
 import org.bronzetide.edge.state.StoreWatcher
 import org.bronzetide.edge.state.TargetRegistry
+import org.bronzetide.edge.state.ref
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.edge.telemetry.StatusPage
@@ -53,7 +54,6 @@
 import org.bronzetide.scheduling.fleet.FleetTarget
 import org.bronzetide.scheduling.fleet.QuotaLimiter
 import org.bronzetide.scheduling.fleet.TargetRef
-import org.bronzetide.scheduling.fleet.TargetStart
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /**
@@ -98,7 +98,12 @@
         scheduler,
         quotaLimiter,
         log,
-        PeerCoordinator.Environment(peers::send, { manifest()?.version ?: 0 }, ::fetchManifest)
+        PeerCoordinator.Environment(
+            peers::send,
+            { manifest()?.version ?: 0 },
+            ::fetchManifest,
+            { departures.markAsHeardByPeer(it) }
+        )
     )
     private val retryBudget = WindowedRetryBudget(
         settings.bounds.retryRatio,
@@ -115,7 +120,12 @@
 
     @Volatile
     private var status = statusPage()
-    private val departures = Departures(log) { control.post(::updateTargets) }
+    private val departures: Departures = Departures(log) { target ->
+        control.post {
+            fleet.onDeparture(target)
+            updateTargets()
+        }
+    }
     private val processEnd = ProcessEnd()
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler),
@@ -355,7 +365,7 @@
         entry.slots,
         entry.isLeaving || entry in departures,
         isEngine = manifest()?.services?.get(entry.service)?.engine != null,
-        start = TargetStart(entry.startHash)
+        start = entry.ref.start
     )
 
     private companion object {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -15,6 +15,7 @@
 import org.bronzetide.scheduling.fleet.LoadAggregator
 import org.bronzetide.scheduling.fleet.LoadReport
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.TargetRef
 
 /**
  * Exchanges state with the peers: membership, the requests sent to targets, the consumed quotas and
@@ -41,7 +42,9 @@
         val send: (SocketAddress, PeerMessage) -> Unit,
         val manifestVersion: () -> Long,
         /** Called with the IP address of a host that holds a newer manifest. */
-        val onNewerManifest: (String) -> Unit
+        val onNewerManifest: (String) -> Unit,
+        /** Called with a target that has said to another host that it leaves. */
+        val onPeerDeparture: (TargetRef) -> Unit
     )
 
     private val self = NodeId.ofNewProcess(settings.nodeName, random)
@@ -63,7 +66,7 @@
     /** Where reports came from; membership learns of a host that has started only later. */
     private val reporterIps = HashMap<String, String>()
     private val crashEvidence = CrashEvidenceExchange(scheduler.poisonParts, log)
-    private val statementExchange = StatementExchange(scheduler, random)
+    private val statementExchange = StatementExchange(scheduler, random, env.onPeerDeparture)
     private var seeds = settings.seeds
     private val quotaExchange = QuotaExchange(
         self.value,
@@ -136,6 +139,9 @@
         seeds = found
     }
 
+    /** Announces that [target] leaves. */
+    fun onDeparture(target: TargetRef) = statementExchange.onDeparture(target, clock.nowMs())
+
     /** Announces that this host shuts down as planned. */
     fun leave() {
         membership.leave()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -131,7 +131,9 @@
         /** In a report, the requests that the sender would send to limited targets. */
         @CborLabel(4) val sendDemands: List<SendDemand> = emptyList(),
         /** In a summary, the permits of the receiver to send to limited targets. */
-        @CborLabel(5) val permits: List<Permits> = emptyList()
+        @CborLabel(5) val permits: List<Permits> = emptyList(),
+        /** The targets that leave. */
+        @CborLabel(6) val departures: List<Target> = emptyList()
     )
 
     /** One start of a target. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/StatementExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/StatementExchange.kt
@@ -11,16 +11,20 @@
  * Exchanges what targets have said of themselves, so that what one host hears holds on all of them,
  * and hands out the permits to send to targets with a limit while this host is the aggregator.
  *
- * A host reports the limits that it knows; the summary tells it those that it has not reported or
- * knows otherwise. Messages may be late. The receiver does not know when one was sent, but it was
- * after the message to which it replies: by that, no limit ends by an outdated statement, and a
- * permit expires a fixed time after the host has asked for it.
+ * A host reports the limits and the departures that it knows; the summary tells it those that it
+ * has not reported or knows otherwise.
+ *
+ * Messages may be late. The receiver does not know when one was sent, but it was after the message
+ * to which it replies: by that, no limit ends by an outdated statement, and a permit expires a
+ * fixed time after the host has asked for it.
  *
  * Confined to the control thread.
  */
 internal class StatementExchange(
     private val scheduler: FleetScheduler,
-    private val random: Random
+    private val random: Random,
+    /** Called with a target that has said to another host that it leaves. */
+    private val onPeerDeparture: (TargetRef) -> Unit
 ) {
     private val issuer = PermitIssuer(random)
 
@@ -28,12 +32,21 @@
     private val reporters = HashMap<String, Peer>()
     private val aggregators = HashMap<String, Peer>()
 
+    /** When this host learned of each recent departure. */
+    private val departedAtMs = HashMap<TargetRef, Long>()
+
+    /** Records that [target] has said that it leaves. */
+    fun onDeparture(target: TargetRef, nowMs: Long) {
+        departedAtMs.putIfAbsent(target, nowMs)
+    }
+
     /** Returns the statements for the report to [aggregator], or `null` if there are none. */
     fun report(aggregator: String, intervalMs: Long, nowMs: Long): PeerMessage.Statements? {
         val limits = statedLimits().filterValues {
             it.perSecond != null || nowMs - it.heardAtMs < END_ANNOUNCEMENT_MS
         }
-        if (limits.isEmpty()) return null
+        departedAtMs.values.removeIf { nowMs - it > DEPARTURE_RETENTION_MS }
+        if (limits.isEmpty() && departedAtMs.isEmpty()) return null
         return PeerMessage.Statements(
             nowMs,
             aggregators[aggregator]?.sentAtMs,
@@ -41,7 +54,9 @@
                 .map { (target, limit) -> limit.toMessage(target, nowMs) },
             limitedTargets().map { it.service }.distinct().associateWith {
                 scheduler.sendDemand(it, permitLifetimeMs(intervalMs), nowMs)
-            }.toSendDemandMessages()
+            }.toSendDemandMessages(),
+            departures = departedAtMs.keys.shuffled(random).take(MAX_DEPARTURES)
+                .map { it.toMessage() }
         )
     }
 
@@ -51,6 +66,7 @@
         peer.lastMessageAtMs = nowMs
         peer.limits =
             statements?.limits.orEmpty().associate { it.target.toRef() to it.perKiloSecond }
+        peer.departures = statements?.departures.orEmpty().mapTo(HashSet()) { it.toRef() }
         issuer.onReport(host, statements?.sendDemands.orEmpty().toSendDemands(), nowMs)
         statements?.let { learn(peer, it, nowMs) }
     }
@@ -71,12 +87,14 @@
             .filter { it.perKiloSecond != peer.limits[it.target.toRef()] }
         val permits = issuer.takePermits(host)
             .map { (target, count) -> PeerMessage.Permits(target.toMessage(), count) }
-        if (news.isEmpty() && peer.sentAtMs == null) return null
+        val departures = departedAtMs.keys - peer.departures
+        if (news.isEmpty() && departures.isEmpty() && peer.sentAtMs == null) return null
         return PeerMessage.Statements(
             nowMs,
             peer.sentAtMs,
             news.shuffled(random).take(MAX_LIMITS),
-            permits = permits
+            permits = permits,
+            departures = departures.shuffled(random).take(MAX_DEPARTURES).map { it.toMessage() }
         )
     }
 
@@ -118,6 +136,10 @@
             val limit = it.toRequestLimit(statements.repliesToSentAtMs, nowMs)
             scheduler.limits.onStated(it.target.toRef(), limit)
         }
+        statements.departures.map { it.toRef() }.filter { it !in departedAtMs }.forEach {
+            departedAtMs[it] = nowMs
+            onPeerDeparture(it)
+        }
     }
 
     private class Peer {
@@ -127,6 +149,9 @@
 
         /** The limits that it has reported, in thousandths of a request a second. */
         var limits: Map<TargetRef, Long?> = emptyMap()
+
+        /** The departures that it has reported. */
+        var departures: Set<TargetRef> = emptySet()
     }
 
     private companion object {
@@ -135,6 +160,10 @@
 
         /** How long the end of a limit is reported, some of which may be lost. */
         const val END_ANNOUNCEMENT_MS = 3_000L
+
+        /** Longer than the store takes to show a target that leaves, or to be back. */
+        const val DEPARTURE_RETENTION_MS = 30_000L
+        const val MAX_DEPARTURES = 50
         const val PEER_RETENTION_MS = 60_000L
 
         /** A report waits for the summary, and requests for a target to be chosen. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/Departures.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/Departures.kt
@@ -1,18 +1,23 @@
 package org.bronzetide.edge.state
 
 import org.bronzetide.edge.telemetry.DecisionLog
-import org.bronzetide.platform.fleet.SocketAddress
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.scheduling.fleet.TargetRef
+import org.bronzetide.scheduling.fleet.TargetStart
 
 /**
- * The targets that have said in a response that they leave. They get no further requests, whatever
- * their entries in the store say, until another start of a target is registered there.
+ * The targets that have said in a response that they leave, to this host or to another one. They
+ * get no further requests, whatever their entries in the store say, until another start of a target
+ * is registered there.
  *
  * Thread-safe: a departure counts for requests from the moment at which the response is read.
  */
-internal class Departures(private val log: DecisionLog, private val onChange: () -> Unit) {
-    private val starts = object : LinkedHashMap<Start, Unit>() {
-        override fun removeEldestEntry(eldest: Map.Entry<Start, Unit>) = size > MAX_DEPARTURES
+internal class Departures(
+    private val log: DecisionLog,
+    private val onDeparture: (TargetRef) -> Unit
+) {
+    private val departed = object : LinkedHashMap<TargetRef, Unit>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetRef, Unit>) = size > MAX_DEPARTURES
     }
 
     /** The number of departures so far. */
@@ -20,34 +25,30 @@
     var count = 0L
         private set
 
-    /** Records that [target] leaves. */
-    fun mark(target: TargetEntry) {
-        synchronized(starts) {
-            if (starts.put(Start.of(target), Unit) != null) return
+    /** Records that [target] has said to this host that it leaves. */
+    fun mark(target: TargetEntry) = mark(target.ref, heardFrom = "target")
+
+    /** Records that [target] has said to another host that it leaves. */
+    fun markAsHeardByPeer(target: TargetRef) = mark(target, heardFrom = "peer")
+
+    private fun mark(target: TargetRef, heardFrom: String) {
+        synchronized(departed) {
+            if (departed.put(target, Unit) != null) return
             count++
         }
-        log.stateChange(
-            "target leaving",
-            "target" to target.id,
-            "service" to target.service,
-            "address" to target.address.toString()
-        )
-        onChange()
+        log.stateChange("target leaving", "target" to target.id, "heardFrom" to heardFrom)
+        onDeparture(target)
     }
 
     /** Whether [target] has said that it leaves. */
     operator fun contains(target: TargetEntry): Boolean =
-        synchronized(starts) { Start.of(target) in starts }
-
-    /** One start of a target. */
-    private data class Start(val id: String, val address: SocketAddress, val startedAtMs: Long) {
-        companion object {
-            fun of(target: TargetEntry) = Start(target.id, target.address, target.startedAtMs)
-        }
-    }
+        synchronized(departed) { target.ref in departed }
 
     private companion object {
         /** Several times the targets of a large deployment that leave within an hour. */
         const val MAX_DEPARTURES = 2_000
     }
 }
+
+/** This start of the target. */
+internal val TargetEntry.ref: TargetRef get() = TargetRef(id, TargetStart(startHash))
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -14,6 +14,7 @@
 import org.bronzetide.scheduling.fleet.FleetTicket
 import org.bronzetide.scheduling.fleet.PromptPart
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.TargetRef
 
 /**
  * Hosts that exchange messages through a network that loses a share of [lossShare] of them and
@@ -72,6 +73,9 @@
         var isIsolated = false
         var manifestVersion = 1L
         val newerManifestAt = HashSet<String>()
+
+        /** The targets that it knows to leave from other hosts. */
+        val departures = ArrayList<TargetRef>()
         private val seed = hosts.firstOrNull { !it.isIsolated }
         private var sequences = 1_000L
         val scheduler = FleetScheduler("z1", Random(index))
@@ -91,7 +95,8 @@
             PeerCoordinator.Environment(
                 { to, message -> deliver(this, to, message) },
                 { manifestVersion },
-                { newerManifestAt += it }
+                { newerManifestAt += it },
+                { departures += it }
             ),
             Random(random.nextLong())
         )
