Let hosts avoid a target that rests for others

A target that turns requests away and wants none for a while told each host in turn, at the price of a refused send each. It wants none from the hosts that it told, so the others may still use it: a rest is now reported like an ejection, and a target that rests for two other hosts is used only if no other target has a free slot.

StatementExchangeTest.targetThatRestsForTwoHostsIsTheLastChoiceOfTheOthers.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/StatementExchangeTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/StatementExchangeTest.kt
@@ -1,8 +1,10 @@
 package org.bronzetide.edge.peer
 
+import net.jqwik.api.Example
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.scheduling.fleet.FleetTicket
 
 /** What targets say to one host holds on the others. */
 class StatementExchangeTest {
@@ -26,4 +28,25 @@
             assertThat(started.departures).containsExactly(target)
         }
     }
+
+    /** Guards against hosts that each ask a target that has turned others away for a while. */
+    @Example
+    fun targetThatRestsForTwoHostsIsTheLastChoiceOfTheOthers() {
+        network.startHosts(8)
+        network.run(2_000)
+        hosts.take(2).forEachIndexed { index, host ->
+            val laterMs = network.clock.nowMs() + 5_000
+            val ticket = FleetTicket(index.toLong(), "model", 0, 10, 1, laterMs, laterMs)
+            host.scheduler.enroll(ticket, network.clock.nowMs()) {}
+            host.scheduler.onRest(index.toLong(), network.clock.nowMs() + 2_000)
+        }
+        network.run(300)
+        assertThat(isSuspectedByOthers()).containsOnly(true)
+        network.run(2_500)
+        assertThat(isSuspectedByOthers()).containsOnly(false)
+    }
+
+    private fun isSuspectedByOthers(): List<Boolean> = hosts.drop(2).map {
+        it.scheduler.views(network.clock.nowMs()).single().isSuspectedByPeers
+    }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -222,9 +222,13 @@
         }
     }
 
-    /** The targets that are ejected on this host, to report to the other hosts. */
-    public fun suspects(nowMs: Long): Set<String> =
-        targets.filterValues { it.ejectedUntilMs > nowMs }.keys.toSet()
+    /**
+     * The targets that are ejected on this host or want no requests from it, to report to the other
+     * hosts.
+     */
+    public fun suspects(nowMs: Long): Set<String> = targets.filterValues {
+        it.ejectedUntilMs > nowMs || it.restingUntilMs > nowMs
+    }.keys.toSet()
 
     /** Replaces the targets suspected by other hosts; used only if no other has a free slot. */
     public fun updatePeerSuspects(ids: Set<String>) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -9,7 +9,7 @@
     val quotaTotals: Map<String, Long>,
     /** The totals when it last got an update. Units consumed since then may not be counted yet. */
     val quotaTotalsAtLastUpdate: Map<String, Long> = quotaTotals,
-    /** The targets that are ejected on it. */
+    /** The targets that are ejected on it or want no requests from it. */
     val suspects: Set<String> = emptySet(),
     /** The slowdowns of targets that it observed since its previous report. */
     val slowdowns: Map<String, Slowdown> = emptyMap(),
