--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/LimitedTargetTest.kt
@@ -0,0 +1,87 @@
+package org.bronzetide.edge
+
+import java.util.concurrent.CopyOnWriteArrayList
+import net.jqwik.api.Example
+import net.jqwik.api.lifecycle.AfterTry
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.http.Header
+
+/**
+ * A target names in its responses how many requests a second it takes. Guards against a limit that
+ * is not followed, or not ended, by any way in which a request comes to be sent.
+ */
+class LimitedTargetTest {
+    private val environment = EdgeTestEnvironment()
+
+    @Volatile
+    private var named: List<String> = emptyList()
+
+    @Volatile
+    private var status = 200
+
+    /** When requests reached the target, in milliseconds on a steady clock. */
+    private val arrivalsMs = CopyOnWriteArrayList<Double>()
+
+    @AfterTry
+    fun close() = environment.close()
+
+    @Example
+    fun requestsAndTheirReturnsStayWithinTheLimit() {
+        start()
+        named = listOf("5")
+        environment.ask("/safe/")
+        arrivalsMs.clear()
+        val endMs = nowMs() + 4_000
+        while (nowMs() < endMs) {
+            // A response with an error is followed by a second send.
+            status = if (status == 200) 500 else 200
+            environment.ask("/safe/")
+        }
+        assertThat(arrivalsMs.size).isBetween(17, 25)
+    }
+
+    @Example
+    fun malformedLimitsChangeNothing() {
+        start()
+        listOf(listOf("0"), listOf("-1"), listOf("x"), listOf("1", "1")).forEach {
+            named = it
+            repeat(20) { assertThat(environment.ask("/safe/").status).isEqualTo(200) }
+        }
+        named = listOf("5")
+        environment.ask("/safe/")
+        named = listOf("x")
+        Thread.sleep(300)
+        arrivalsMs.clear()
+        val endMs = nowMs() + 2_000
+        while (nowMs() < endMs) environment.ask("/safe/")
+        assertThat(arrivalsMs.size).isLessThanOrEqualTo(13)
+    }
+
+    @Example
+    fun limitEndsWhenTheTargetNamesNone() {
+        start()
+        named = listOf("2")
+        repeat(3) { environment.ask("/safe/") }
+        named = emptyList()
+        repeat(4) { environment.ask("/safe/") }
+        arrivalsMs.clear()
+        repeat(50) { assertThat(environment.ask("/safe/").status).isEqualTo(200) }
+        assertThat(arrivalsMs.last() - arrivalsMs.first()).isLessThan(5_000.0)
+    }
+
+    private fun nowMs() = System.nanoTime() / 1e6
+
+    private fun start() {
+        environment.startTarget("t1") { request, connection ->
+            arrivalsMs += nowMs()
+            val headers = EdgeTestEnvironment.signedHeaders(request) +
+                named.map { Header("Server-Limit", it) }
+            connection.send(status, headers, "answer".encodeToByteArray())
+            true
+        }
+        environment.writeManifest()
+        environment.start()
+        assertThat(environment.ask("/safe/").status).isEqualTo(200)
+    }
+}
