Announce a departure for 30 s only; read limits of the targets that have one

Hosts forgot a departure after 30 s and took it up again from a host that had heard of it later, so that it would have been announced for ever. It is now remembered four times as long as it is announced (departureIsAnnouncedForAWhileOnly; the fault was found by reading, the test was not run on the code before).

Reports and summaries went through all targets for the limits of a few, on the aggregator once for each host; TargetLimits now keeps the known targets and goes through its own entries.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/StatementExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/StatementExchange.kt
@@ -2,9 +2,7 @@
 
 import kotlin.random.Random
 import org.bronzetide.scheduling.fleet.FleetScheduler
-import org.bronzetide.scheduling.fleet.LimitedTarget
 import org.bronzetide.scheduling.fleet.PermitIssuer
-import org.bronzetide.scheduling.fleet.RequestLimit
 import org.bronzetide.scheduling.fleet.TargetRef
 
 /**
@@ -42,21 +40,20 @@
 
     /** Returns the statements for the report to [aggregator], or `null` if there are none. */
     fun report(aggregator: String, intervalMs: Long, nowMs: Long): PeerMessage.Statements? {
-        val limits = statedLimits().filterValues {
+        val limits = scheduler.limits.stated().filterValues {
             it.perSecond != null || nowMs - it.heardAtMs < END_ANNOUNCEMENT_MS
         }
-        departedAtMs.values.removeIf { nowMs - it > DEPARTURE_RETENTION_MS }
-        if (limits.isEmpty() && departedAtMs.isEmpty()) return null
+        val departures = announcedDepartures(nowMs)
+        if (limits.isEmpty() && departures.isEmpty()) return null
         return PeerMessage.Statements(
             nowMs,
             aggregators[aggregator]?.sentAtMs,
             limits.entries.shuffled(random).take(MAX_LIMITS)
                 .map { (target, limit) -> limit.toMessage(target, nowMs) },
-            limitedTargets().map { it.service }.distinct().associateWith {
+            scheduler.limits.limitedTargets().map { it.service }.distinct().associateWith {
                 scheduler.sendDemand(it, permitLifetimeMs(intervalMs), nowMs)
             }.toSendDemandMessages(),
-            departures = departedAtMs.keys.shuffled(random).take(MAX_DEPARTURES)
-                .map { it.toMessage() }
+            departures = departures.shuffled(random).take(MAX_DEPARTURES).map { it.toMessage() }
         )
     }
 
@@ -68,6 +65,7 @@
             statements?.limits.orEmpty().associate { it.target.toRef() to it.perKiloSecond }
         peer.departures = statements?.departures.orEmpty().mapTo(HashSet()) { it.toRef() }
         issuer.onReport(host, statements?.sendDemands.orEmpty().toSendDemands(), nowMs)
+        peer.sentAtMs = null
         statements?.let { learn(peer, it, nowMs) }
     }
 
@@ -76,18 +74,18 @@
         reporters.values.removeIf { nowMs - it.lastMessageAtMs > PEER_RETENTION_MS }
         val reporting = issuer.retainReported(nowMs - reportAgeLimitMs(intervalMs))
         val share = (reporting.toDouble() / hostCount.coerceAtLeast(1)).coerceAtMost(1.0)
-        issuer.issue(limitedTargets(), share, intervalMs, nowMs)
+        issuer.issue(scheduler.limits.limitedTargets(), share, intervalMs, nowMs)
     }
 
     /** Returns the statements for the summary to [host], or `null` if there are none. */
     fun summaryFor(host: String, nowMs: Long): PeerMessage.Statements? {
         val peer = reporters[host] ?: return null
-        val news = statedLimits()
+        val news = scheduler.limits.stated()
             .map { (target, limit) -> limit.toMessage(target, nowMs) }
             .filter { it.perKiloSecond != peer.limits[it.target.toRef()] }
         val permits = issuer.takePermits(host)
             .map { (target, count) -> PeerMessage.Permits(target.toMessage(), count) }
-        val departures = departedAtMs.keys - peer.departures
+        val departures = announcedDepartures(nowMs) - peer.departures
         if (news.isEmpty() && departures.isEmpty() && peer.sentAtMs == null) return null
         return PeerMessage.Statements(
             nowMs,
@@ -117,17 +115,11 @@
         }
     }
 
-    /** What the known targets have stated; those that never had a limit are left out. */
-    private fun statedLimits(): Map<TargetRef, RequestLimit> =
-        scheduler.targetSpecs.mapNotNull { spec ->
-            scheduler.limits.stated(spec.ref)?.let { spec.ref to it }
-        }.toMap()
-
-    /** The targets with a limit that may get requests. */
-    private fun limitedTargets(): List<LimitedTarget> =
-        scheduler.targetSpecs.filterNot { it.isLeaving }.mapNotNull { spec ->
-            scheduler.limits.perSecond(spec.ref)?.let { LimitedTarget(spec.ref, spec.service, it) }
-        }
+    /** Recent departures. Older ones are remembered, as other hosts may still announce them. */
+    private fun announcedDepartures(nowMs: Long): Set<TargetRef> {
+        departedAtMs.values.removeIf { nowMs - it > DEPARTURE_RETENTION_MS }
+        return departedAtMs.filterValues { nowMs - it < DEPARTURE_ANNOUNCEMENT_MS }.keys
+    }
 
     private fun learn(peer: Peer, statements: PeerMessage.Statements, nowMs: Long) {
         peer.lastMessageAtMs = nowMs
@@ -143,7 +135,7 @@
     }
 
     private class Peer {
-        /** When its latest statements were sent, on its clock. */
+        /** When its latest message was sent, on its clock; `null` if it had no statements. */
         var sentAtMs: Long? = null
         var lastMessageAtMs = 0L
 
@@ -162,7 +154,8 @@
         const val END_ANNOUNCEMENT_MS = 3_000L
 
         /** Longer than the store takes to show a target that leaves, or to be back. */
-        const val DEPARTURE_RETENTION_MS = 30_000L
+        const val DEPARTURE_ANNOUNCEMENT_MS = 30_000L
+        const val DEPARTURE_RETENTION_MS = 4 * DEPARTURE_ANNOUNCEMENT_MS
         const val MAX_DEPARTURES = 50
         const val PEER_RETENTION_MS = 60_000L
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/StatementExchangeTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/StatementExchangeTest.kt
@@ -29,6 +29,18 @@
         }
     }
 
+    /** Guards against hosts that announce a departure to each other for ever. */
+    @Example
+    fun departureIsAnnouncedForAWhileOnly() {
+        network.startHosts(8)
+        network.run(2_000)
+        hosts.first().coordinator.onDeparture(hosts.first().target.ref)
+        network.run(70_000)
+        val started = network.startHost()
+        network.run(3_000)
+        assertThat(started.departures).isEmpty()
+    }
+
     /** Guards against hosts that each ask a target that has turned others away for a while. */
     @Example
     fun targetThatRestsForTwoHostsIsTheLastChoiceOfTheOthers() {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -33,9 +33,6 @@
      */
     public var hostCount: Int = 1
 
-    /** The known targets. */
-    public val targetSpecs: List<FleetTarget> get() = targets.values.map { it.spec }
-
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -52,6 +49,7 @@
         specs.forEach { spec ->
             targets.getOrPut(spec.id) { TargetLoad(spec) }.spec = spec
         }
+        limits.updateTargets(specs)
     }
 
     /**
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -78,7 +78,7 @@
     val start: TargetStart = TargetStart(0)
 ) {
     /** This start of the target. */
-    public val ref: TargetRef get() = TargetRef(id, start)
+    public val ref: TargetRef = TargetRef(id, start)
 }
 
 /** Tells the starts of a target apart that have the same id. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
@@ -14,12 +14,19 @@
         override fun removeEldestEntry(eldest: Map.Entry<TargetRef, Entry>) = size > MAX_ENTRIES
     }
 
+    private var targets = emptyMap<TargetRef, FleetTarget>()
+
     /**
      * Called when the limit of a target changes, with the requests a second that it takes from all
      * hosts together, or `null` if it has no limit any more.
      */
     public var onChange: (target: TargetRef, perSecond: Double?) -> Unit = { _, _ -> }
 
+    /** Replaces the known targets. */
+    internal fun updateTargets(specs: Collection<FleetTarget>) {
+        targets = specs.associateBy { it.ref }
+    }
+
     /** Records that [target] has stated [limit]. */
     public fun onStated(target: TargetRef, limit: RequestLimit) {
         val entry = entries[target]
@@ -33,8 +40,20 @@
         if (entry.limit.perSecond != before.perSecond) onChange(target, entry.limit.perSecond)
     }
 
-    /** What [target] has stated last, or `null` if it never had a limit. */
-    public fun stated(target: TargetRef): RequestLimit? = entries[target]?.limit
+    /** What the known targets have stated last; those that never had a limit are left out. */
+    public fun stated(): Map<TargetRef, RequestLimit> =
+        entries.filterKeys { it in targets }.mapValues { it.value.limit }
+
+    /** The targets with a limit that may get requests. */
+    public fun limitedTargets(): List<LimitedTarget> = entries.mapNotNull { (ref, entry) ->
+        val target = targets[ref]?.takeUnless { it.isLeaving }
+        val perSecond = entry.limit.perSecond
+        if (target == null || perSecond == null) {
+            null
+        } else {
+            LimitedTarget(ref, target.service, perSecond)
+        }
+    }
 
     /** The requests a second that a target takes from all hosts together; `null` for no limit. */
     public fun perSecond(target: TargetRef): Double? = entries[target]?.limit?.perSecond
