--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -240,6 +240,7 @@
         metrics.gauge("bronzetide.edge.prompt.parts.blocked") {
             scheduler.poisonParts.blocked.size
         }
+        metrics.gauge("bronzetide.edge.targets.limited") { scheduler.limits.limitedCount }
         metrics.gauge("bronzetide.edge.connections.opened") { pool.openedCount }
         metrics.gauge("bronzetide.edge.targets.departed") { departures.count }
         metrics.gauge("bronzetide.edge.bodies.held.bytes") { bodies.heldBytes }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLimits.kt
@@ -22,22 +22,27 @@
      */
     public var onChange: (target: TargetRef, perSecond: Double?) -> Unit = { _, _ -> }
 
+    /** The number of targets that have a limit. May be read by any thread. */
+    @Volatile
+    public var limitedCount: Int = 0
+        private set
+
     /** Replaces the known targets. */
     internal fun updateTargets(specs: Collection<FleetTarget>) {
         targets = specs.associateBy { it.ref }
+        limitedCount = limitedTargets().size
     }
 
     /** Records that [target] has stated [limit]. */
     public fun onStated(target: TargetRef, limit: RequestLimit) {
         val entry = entries[target]
-        if (entry == null) {
-            if (limit.perSecond == null) return
-            entries[target] = Entry(limit)
-            return onChange(target, limit.perSecond)
-        }
-        val before = entry.limit
-        entry.limit = before.mergedWith(limit)
-        if (entry.limit.perSecond != before.perSecond) onChange(target, entry.limit.perSecond)
+        if (entry == null && limit.perSecond == null) return
+        val before = entry?.limit
+        val after = before?.mergedWith(limit) ?: limit
+        if (entry == null) entries[target] = Entry(after) else entry.limit = after
+        if (after.perSecond == before?.perSecond) return
+        limitedCount = limitedTargets().size
+        onChange(target, after.perSecond)
     }
 
     /** What the known targets have stated last; those that never had a limit are left out. */
