Test the use of a limited target without lost messages only

Of ten permits two may be lost at a loss of 0.02, so that 0.9 of the limit would be missed by chance in some hundredth of all runs. The flood of all hosts keeps its bound with losses; that it uses the target is now a case of the test of use, without losses and at the same bound.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/TargetLimitAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/TargetLimitAcrossHostsTest.kt
@@ -20,10 +20,9 @@
         forEachSizeAndLimit { hostCount, perSecond ->
             start(seed, hostCount, perSecond)
             traffic.run(10_000)
-            assertThatTargetIsUsed(perSecond, 10_000)
         }
 
-    /** Guards against a target that is left idle while only some of the hosts have requests. */
+    /** Guards against a target that is left idle while some or all of the hosts have requests. */
     @Property(tries = 1)
     fun targetIsUsedUpToItsLimitByTheHostsThatHaveRequests(@ForAll seed: Long) =
         forEachSizeAndLimit { hostCount, perSecond ->
@@ -33,6 +32,7 @@
                     BusyHosts.AGGREGATOR -> hosts.filter { it.isAggregator() }
                     BusyHosts.ONE_OTHER -> hosts.filterNot { it.isAggregator() }.take(1)
                     BusyHosts.QUARTER -> hosts.take(hostCount / 4)
+                    BusyHosts.ALL -> hosts
                 }
                 traffic.isBusy = { it in busy }
                 traffic.run(4_000)
@@ -185,7 +185,7 @@
         traffic.perSecond = perSecond
     }
 
-    private enum class BusyHosts { AGGREGATOR, ONE_OTHER, QUARTER }
+    private enum class BusyHosts { AGGREGATOR, ONE_OTHER, QUARTER, ALL }
 
     private companion object {
         val hostCounts = listOf(8, 72, 95)
