--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/LimitedTargetTraffic.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/LimitedTargetTraffic.kt
@@ -17,9 +17,6 @@
     /** Whether a host has requests. */
     var isBusy: (PeerNetwork.Host) -> Boolean = { true }
 
-    /** Called with each host and the number of a request that was just sent. */
-    var onSent: (PeerNetwork.Host, Long) -> Unit = { _, _ -> }
-
     var waitingPerHost = 2
 
     val arrivals = ArrayList<Arrival>()
@@ -56,10 +53,7 @@
         var isDecided = false
         host.scheduler.enroll(ticket, nowMs) { decision ->
             isDecided = true
-            if (decision is FleetDecision.Send) {
-                onSent(host, sequence)
-                later { arrive(host, sequence) }
-            }
+            if (decision is FleetDecision.Send) later { arrive(host, sequence) }
         }
         return !isDecided
     }
