--- a/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
+++ b/bronzetide-http/src/test/kotlin/org/bronzetide/http/TrafficLoopTest.kt
@@ -34,14 +34,17 @@
     @Example
     fun delaysEndInOrderAlsoWhenScheduledFromOtherThreads() = runBlocking {
         val ended = CopyOnWriteArrayList<Int>()
-        val jobs = listOf(60, 20, 40).map { ms ->
+        // Further apart than the moments at which threads of a busy machine begin.
+        val jobs = listOf(600, 200, 400).map { ms ->
             CoroutineScope(Dispatchers.Default).launch {
-                withContext(loop) { delay(ms.toLong()) }
-                ended += ms
+                withContext(loop) {
+                    delay(ms.toLong())
+                    ended += ms
+                }
             }
         }
         withTimeout(5_000) { jobs.forEach { it.join() } }
-        assertThat(ended).containsExactly(20, 40, 60)
+        assertThat(ended).containsExactly(200, 400, 600)
     }
 
     @Example
