Serve large bodies as often as small ones while memory is short

Cause: a body waits in line, and in an overload the line is as long as the wait. One that gets to the front in its last moments has time only if it fits at once, which small ones mostly do.

Change: the last quarter of each wait counts at the front of the line only; who is not there by then gives up, whatever its size. The whole wait is as long as before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/memory/ByteCredits.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/memory/ByteCredits.kt
@@ -3,7 +3,13 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Grants up to [maxBytes] at a time, in the order in which they are asked for. */
+/**
+ * Grants up to [maxBytes] at a time, in the order in which they are asked for.
+ *
+ * The first in line needs the longer the more it asks for. A part of each wait is therefore kept
+ * for that place: otherwise those that get there in their last moments would be granted little and
+ * refused much.
+ */
 internal class ByteCredits(private val maxBytes: Long) {
     private val waiting = ArrayDeque<Waiter>()
 
@@ -13,7 +19,7 @@
 
     /**
      * Waits up to [maxWaitMs] milliseconds for [bytes], or for all if that is less, and returns
-     * `null` if there was no place.
+     * `null` if there was no place, or if the front of the line was not reached in time.
      */
     suspend fun acquire(bytes: Long, maxWaitMs: Long): Grant? {
         val waiter = Waiter(Grant(minOf(bytes, maxBytes)))
@@ -21,9 +27,8 @@
         grantNext()
         var isTaken = false
         try {
-            withTimeoutOrNull(maxWaitMs) { waiter.isGranted.await() } ?: return null
-            isTaken = true
-            return waiter.grant
+            isTaken = withTimeoutOrNull(maxWaitMs) { waiter.awaitGrant(maxWaitMs) } ?: false
+            return waiter.grant.takeIf { isTaken }
         } finally {
             if (!isTaken) giveUp(waiter)
         }
@@ -44,6 +49,7 @@
     private fun grantNext() {
         while (true) {
             val next = waiting.firstOrNull() ?: return
+            next.isFirst.complete(Unit)
             if (heldBytes + next.grant.bytes > maxBytes) return
             waiting.removeFirst()
             heldBytes += next.grant.bytes
@@ -68,6 +74,20 @@
     }
 
     private inner class Waiter(val grant: Grant) {
+        val isFirst = CompletableDeferred<Unit>()
         val isGranted = CompletableDeferred<Unit>()
+
+        /** Returns whether it was granted, or `false` if it is too late to be the first in line. */
+        suspend fun awaitGrant(maxWaitMs: Long): Boolean {
+            val maxLineMs = maxWaitMs - maxWaitMs / FIRST_PLACE_DIVISOR
+            withTimeoutOrNull(maxLineMs) { isFirst.await() } ?: return false
+            isGranted.await()
+            return true
+        }
+    }
+
+    private companion object {
+        /** The part of a wait that is kept for the front of the line. */
+        const val FIRST_PLACE_DIVISOR = 4
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/memory/ByteCreditsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/memory/ByteCreditsTest.kt
@@ -2,10 +2,12 @@
 
 import kotlin.random.Random
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import net.jqwik.api.Example
@@ -55,6 +57,25 @@
         Unit
     }
 
+    /** Guards against large bodies that wait in vain while small ones pass, in a flood. */
+    @Property(tries = 5)
+    fun largeBodiesOfAFloodAreServedAsOftenAsSmallOnes(@ForAll seed: Long) = runTest {
+        val random = Random(seed)
+        val credits = ByteCredits(10 * LARGEST_BYTES)
+        val isServed = List(3_000) { index ->
+            val bytes = random.nextLong(SMALLEST_BYTES, LARGEST_BYTES)
+            async {
+                delay(2L * index)
+                bytes to (credits.acquire(bytes, maxWaitMs = 80)?.use { delay(80) } != null)
+            }
+        }.awaitAll().sortedBy { it.first }.map { it.second }
+        val share = isServed.shareServed()
+        assertThat(share).isBetween(0.4, 0.7)
+        assertThat(isServed.takeLast(isServed.size / 10).shareServed()).isGreaterThan(0.8 * share)
+    }
+
+    private fun List<Boolean>.shareServed() = count { it }.toDouble() / size
+
     @Property(tries = 50)
     fun neverGrantsTooMuchAndLosesNothing(@ForAll seed: Long) = runBlocking {
         val random = Random(seed)
@@ -72,4 +93,9 @@
         jobs.forEach { it.join() }
         assertThat(credits.heldBytes).isZero()
     }
+
+    private companion object {
+        const val SMALLEST_BYTES = 4_096L
+        const val LARGEST_BYTES = 131_072L
+    }
 }
