Grant nothing of a contended quota while totals are late

Cause: the level of an account that floods hardly differs between hosts. When totals stop, each of 54 hosts grants one more request from the same few units, until two exchanges later it counts the grants of the others as unknown.

Accounts that ask for less than their quota seldom have so little left.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/QuotaAcrossHostsTest.kt
@@ -1,7 +1,6 @@
 package org.bronzetide.edge.peer
 
 import kotlin.random.Random
-import net.jqwik.api.Disabled
 import net.jqwik.api.Example
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -71,7 +70,6 @@
     }
 
     /** Guards against a flooding account's whole refill being spent by each of many hosts. */
-    @Disabled("listed in KNOWN-RED.txt")
     @Property(tries = 20)
     fun floodThroughTheLossOfAggregatorAndBackupStaysWithinItsBound(@ForAll seed: Long) {
         startMany(seed)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -34,6 +34,9 @@
     public var knowledge: PeerKnowledge = PeerKnowledge.Current()
         private set
 
+    /** The age of the last totals from which on the next ones are late, in milliseconds. */
+    public var totalsLateAfterMs: Long = Long.MAX_VALUE
+
     /** The delay until this host learns of another host's grants, in milliseconds. */
     public var propagationDelayMs: Long = 0
 
@@ -126,7 +129,11 @@
         bucket.resize(perSecond, burst)
         bucket.refill(nowMs, knowledge)
         val unreportedUnits = unreportedByPeers(account, bucket, nowMs)
-        val waitMs = bucket.waitMs(units, unreportedUnits, knowledge)
+        val waitMs = if (mayBeSpentByOthers(bucket, nowMs)) {
+            totalsLateAfterMs
+        } else {
+            bucket.waitMs(units, unreportedUnits, knowledge)
+        }
         if (waitMs > 0) {
             bucket.refuse(units)
             return waitMs
@@ -137,6 +144,16 @@
         return null
     }
 
+    /**
+     * Whether the others are likely to spend all that is left of [bucket] before this host hears of
+     * it, as totals are late. The level of an account that floods hardly differs between hosts, and
+     * each of them would grant a request.
+     */
+    private fun mayBeSpentByOthers(bucket: QuotaBucket, nowMs: Long): Boolean =
+        knowledge is PeerKnowledge.Current &&
+            nowMs - lastUpdateAtMs > totalsLateAfterMs &&
+            bucket.spendable < bucket.burst * CONTENDED_LEVEL_SHARE
+
     /** Refunds [units] to the quota of [account], for a request that no target ran. */
     public fun refund(account: String, units: Long) {
         val bucket = buckets[account] ?: return
@@ -271,6 +288,9 @@
     private companion object {
         const val INITIAL_BURST_SHARE = 0.5
 
+        /** An account that asks for less than its quota seldom has so little left. */
+        const val CONTENDED_LEVEL_SHARE = 0.5
+
         /** A tenth of what a flood may take at once; such grants are rare below the quota. */
         const val ANNOUNCED_SHARE = 0.1
 
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -98,6 +98,21 @@
         assertThat(quotas.stateOf("a", 500)!!.level).isEqualTo(800.0)
     }
 
+    /** Guards against a request of a flood that each host grants before it misses totals. */
+    @Example
+    fun contendedAccountIsRefusedWhileTotalsAreLate() {
+        val quotas = QuotaLimiter()
+        quotas.startEmpty(0)
+        quotas.totalsLateAfterMs = 200
+        quotas.onPeerTotals("hub", emptyMap(), 0)
+        quotas.adoptLevels(mapOf("a" to 400.0, "b" to 900.0), 0)
+        assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 200)).isNull()
+        assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 201)).isEqualTo(200)
+        assertThat(quotas.tryConsume("b", 100.0, 1_000.0, 50, 201)).isNull()
+        quotas.onPeerTotals("hub", emptyMap(), 210)
+        assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 210)).isNull()
+    }
+
     /** Guards against large requests that starve beside small ones, at 4 and 9 times the quota. */
     @Property(tries = 10)
     fun largeRequestsOfAFloodAreGrantedAsOftenAsSmallOnes(@ForAll seed: Long) {
