--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -116,7 +116,10 @@
 
     companion object {
         private const val FIRST_PORT = 12_000
-        private const val LAST_PORT = 32_000
+        private const val PORT_RANGES = 40
+        private const val PORTS_PER_RANGE = 500
+        private val firstPort = FIRST_PORT +
+            (ProcessHandle.current().pid() % PORT_RANGES).toInt() * PORTS_PER_RANGE
         private val ids = java.util.concurrent.atomic.AtomicLong()
 
         const val ROUTES = """
@@ -138,13 +141,14 @@
 
         /**
          * Returns a port that is free now. It lies below the ephemeral range, because an outgoing
-         * connection might otherwise take it before it is bound.
+         * connection might otherwise take it before it is bound, and in a range by the id of this
+         * process, because tests in another one might.
          */
         fun freePort(): Int = freePorts(1).single()
 
         private fun freePorts(count: Int): List<Int> =
-            generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }.distinct().filter(::isFree)
-                .take(count).toList()
+            generateSequence { firstPort + Random.nextInt(PORTS_PER_RANGE) }.distinct()
+                .filter(::isFree).take(count).toList()
 
         private fun isFree(port: Int): Boolean = try {
             ServerSocket(port).close()
