Log the state of a quota with each of its refusals

An operator could not tell why an account with more than a tenth of its burst was refused: `near quota` lines, which hold the inputs of the decision, were written for emptier buckets only. Refusals are now logged whatever is left. No behaviour changes; found by reading.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -46,7 +46,7 @@
         }
     }
 
-    /** Logs the decisions of an account that has used most of its burst: it floods, or is close. */
+    /** Logs all refusals, and the grants of an account that has used most of its burst. */
     private fun logNearQuota(
         account: String,
         requestId: String?,
@@ -55,7 +55,7 @@
         nowMs: Long
     ) {
         val state = limiter.stateOf(account, nowMs) ?: return
-        if (state.left > state.burst * LOGGED_LEVEL_SHARE) return
+        if (isGranted && state.left > state.burst * LOGGED_LEVEL_SHARE) return
         log.request(
             "near quota", requestId, "account" to account, "units" to units,
             "granted" to isGranted,
