Tell callers the time until units are there, also while totals are late

A caller of an account that floods was told to return after 0.1 to 0.3 s while totals were late, also if its bucket was empty for longer, and came back for nothing. Found by reading. The new test failed before (200 ms for 299) and passes; QuotaLimiterTest passes.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -129,11 +129,8 @@
         bucket.resize(perSecond, burst)
         bucket.refill(nowMs, knowledge)
         val unreportedUnits = unreportedByPeers(account, bucket, nowMs)
-        val waitMs = if (mayBeSpentByOthers(bucket, nowMs)) {
-            totalsLateAfterMs
-        } else {
-            bucket.waitMs(units, unreportedUnits, knowledge)
-        }
+        val untilTotalsMs = if (mayBeSpentByOthers(bucket, nowMs)) totalsLateAfterMs else 0
+        val waitMs = maxOf(bucket.waitMs(units, unreportedUnits, knowledge), untilTotalsMs)
         if (waitMs > 0) {
             bucket.refuse(units)
             return waitMs
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -113,6 +113,18 @@
         assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 210)).isNull()
     }
 
+    /** Guards against callers that are told to return before there can be anything for them. */
+    @Example
+    fun timeToReturnOfAnEmptyBucketHoldsAlsoWhileTotalsAreLate() {
+        val quotas = QuotaLimiter()
+        quotas.startEmpty(0)
+        quotas.totalsLateAfterMs = 200
+        quotas.onPeerTotals("hub", emptyMap(), 0)
+        quotas.adoptLevels(mapOf("a" to 50.0), 0)
+        assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 0)).isNull()
+        assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 201)).isBetween(295, 305)
+    }
+
     /** Guards against large requests that starve beside small ones, at 4 and 9 times the quota. */
     @Property(tries = 10)
     fun largeRequestsOfAFloodAreGrantedAsOftenAsSmallOnes(@ForAll seed: Long) {
