Name what a host that starts asks for: levels of quotas, not joining

PeerCoordinator.isJoining says that no peer is known yet; QuotaExchange.isJoining said that levels are not. The second is needsLevels now.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -251,16 +251,21 @@
                 serveAsAggregator(nowMs)
             }
 
-            else -> membership.find(chosen)?.let {
-                val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 1)
-                val statements = statementExchange.report(chosen.value, exchangeIntervalMs(), nowMs)
-                val message =
-                    report.toMessage(crashes, statements, isJoining = quotaExchange.isJoining)
-                env.send(addressOf(it.host), message)
-            }
+            else -> reportTo(chosen, report, nowMs)
         }
     }
 
+    private fun reportTo(chosen: NodeId, report: LoadReport, nowMs: Long) {
+        val member = membership.find(chosen) ?: return
+        val intervalMs = exchangeIntervalMs()
+        val message = report.toMessage(
+            crashEvidence.takeDue(nowMs, intervalMs, minCrashes = 1),
+            statementExchange.report(chosen.value, intervalMs, nowMs),
+            needsQuotaLevels = quotaExchange.needsLevels
+        )
+        env.send(addressOf(member.host), message)
+    }
+
     /** Sends quotas only: the backup's sums must be complete the moment the aggregator is lost. */
     private fun reportToBackup(report: LoadReport, nowMs: Long) {
         val quotaReport = LoadReport(
@@ -282,7 +287,7 @@
                 val message = quotaReport.toMessage(
                     crashes = null,
                     isForBackup = true,
-                    isJoining = quotaExchange.isJoining
+                    needsQuotaLevels = quotaExchange.needsLevels
                 )
                 env.send(addressOf(it.host), message)
             }
@@ -371,7 +376,7 @@
         if (message.host !in aggregator.hosts()) crashEvidence.onHostAdded()
         reporterIps[message.host] = senderIp
         aggregator.onReport(report, nowMs)
-        quotaExchange.onReport(message.host, message.isJoining)
+        quotaExchange.onReport(message.host, message.needsQuotaLevels)
         quotaExchange.announceIfMany(exchangeIntervalMs())
         if (message.isForBackup) {
             return sendGrants(message.host, quotaExchange.totalsFor(message.host))
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -35,7 +35,7 @@
         @CborLabel(8) val isForBackup: Boolean = false,
         @CborLabel(9) val statements: Statements? = null,
         /** Whether the host has started and does not know yet what is left of quotas. */
-        @CborLabel(10) val isJoining: Boolean = false
+        @CborLabel(10) val needsQuotaLevels: Boolean = false
     ) : PeerMessage()
 
     /** What the others have consumed of quotas, from an aggregator or its backup. */
@@ -48,7 +48,7 @@
         @CborLabel(3) val hostCount: Int,
         /** How long the sender has summed reports, in milliseconds. */
         @CborLabel(4) val aggregatorAgeMs: Long,
-        /** What is left of quotas, for a host that is joining; `null` if not known or not asked. */
+        /** What is left of quotas, if the receiver needs it and the sender knows it. */
         @CborLabel(5) val quotaLevels: List<QuotaLevel>? = null
     ) : PeerMessage()
 
@@ -67,7 +67,7 @@
         @CborLabel(8) val demands: List<Demand> = emptyList(),
         @CborLabel(9) val crashes: Crashes? = null,
         @CborLabel(10) val statements: Statements? = null,
-        /** What is left of quotas, for a host that is joining; `null` if not known or not asked. */
+        /** What is left of quotas, if the receiver needs it and the sender knows it. */
         @CborLabel(11) val quotaLevels: List<QuotaLevel>? = null
     ) : PeerMessage()
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -19,7 +19,7 @@
     crashes: PeerMessage.Crashes?,
     statements: PeerMessage.Statements? = null,
     isForBackup: Boolean = false,
-    isJoining: Boolean = false
+    needsQuotaLevels: Boolean = false
 ): PeerMessage.Report = PeerMessage.Report(
     host,
     loads.toMessages(),
@@ -34,7 +34,7 @@
     crashes,
     isForBackup,
     statements,
-    isJoining
+    needsQuotaLevels
 )
 
 internal fun PeerMessage.Report.toLoadReport(): LoadReport = LoadReport(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -38,12 +38,12 @@
     private var announcedAtMs = startedAtMs
     private var isAnnouncing = false
 
-    /** The hosts that report here and have asked for the levels of quotas. */
-    private val joiningHosts = HashSet<String>()
+    /** The hosts that report here and do not know what is left of quotas. */
+    private val hostsWithoutLevels = HashSet<String>()
     private var hasLevels = false
 
     /** Whether this host has started and does not know yet what is left of quotas. */
-    val isJoining: Boolean get() = !hasLevels && clock.nowMs() - startedAtMs < JOIN_TIMEOUT_MS
+    val needsLevels: Boolean get() = !hasLevels && clock.nowMs() - startedAtMs < JOIN_TIMEOUT_MS
 
     /** Whether most of the known hosts have reported since the start, or there was time to. */
     private var isJoined = false
@@ -70,21 +70,21 @@
         if (isJoined && (isPrimary || quotas.knowledge is PeerKnowledge.Unknown)) {
             change(PeerKnowledge.Current(reportingCount.toDouble() / sharing), nowMs)
         }
-        message.quotaLevels?.takeIf { isJoining }?.let {
+        message.quotaLevels?.takeIf { needsLevels }?.let {
             hasLevels = true
             quotas.adoptLevels(it.toLevels(), nowMs)
         }
     }
 
-    /** Records that [host] reports here, which needs levels if it [isJoining]. */
-    fun onReport(host: String, isJoining: Boolean) {
-        joiningHosts.retainAll(aggregator.hosts())
-        if (isJoining) joiningHosts += host else joiningHosts -= host
+    /** Records that [host] reports here, and whether it [needsLevels]. */
+    fun onReport(host: String, needsLevels: Boolean) {
+        hostsWithoutLevels.retainAll(aggregator.hosts())
+        if (needsLevels) hostsWithoutLevels += host else hostsWithoutLevels -= host
     }
 
     /** The levels of quotas for [host], or `null` if it needs none or they are not known. */
     fun levelsFor(host: String): List<PeerMessage.QuotaLevel>? {
-        if (host !in joiningHosts) return null
+        if (host !in hostsWithoutLevels) return null
         val unannounced = aggregator.unannounced()
         return quotas.levels(clock.nowMs())?.mapValues { (account, level) ->
             // This host deducts the latest grants only with its next totals.
