Take an empty bucket at the start as one more known level

QuotaLimiter.initialLevel had a branch for a level that another host has told beside one for the empty bucket of a host that starts, which is the same with a level of 0; one serves both now, and SlidingWindowCounter.bucketLevel needs no default. Two tests that began alike share their beginning, with their assertions as they were. No behaviour changes.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -28,7 +28,7 @@
     private var startedAtMs: Long? = null
 
     /** What another host has told of accounts that have not been used here since. */
-    private val toldLevels = HashMap<String, ToldLevel>()
+    private val toldLevels = HashMap<String, KnownLevel>()
 
     /** What this host knows about the grants of the others. */
     public var knowledge: PeerKnowledge = PeerKnowledge.Current()
@@ -120,8 +120,8 @@
         val slackPerSecond = (slack - unreported).coerceAtLeast(0.0) / SlidingWindowCounter.WINDOW_S
         val perSecond = quotaPerSecond + slackPerSecond
         val bucket = buckets.getOrPut(account) {
-            val told = toldLevels.remove(account)
-            val level = initialLevel(granted, told, quotaPerSecond, burst, nowMs)
+            val known = toldLevels.remove(account) ?: startedAtMs?.let { KnownLevel(0.0, it) }
+            val level = initialLevel(granted, known, quotaPerSecond, burst, nowMs)
             val isCurrent = knowledge is PeerKnowledge.Current
             val lease = if (isCurrent) level else level.coerceAtLeast(0.0) * knowledge.rateShare
             QuotaBucket(perSecond, burst, nowMs, level, lease)
@@ -186,7 +186,7 @@
             val left = units - (ownTotals[account] ?: 0)
             val bucket = buckets[account]
             if (bucket == null) {
-                toldLevels[account] = ToldLevel(left, nowMs)
+                toldLevels[account] = KnownLevel(left, nowMs)
             } else {
                 bucket.refill(nowMs, knowledge)
                 bucket.raiseLevel(left, knowledge)
@@ -241,23 +241,18 @@
     /** The level of a bucket that is used for the first time, given all known grants. */
     private fun initialLevel(
         granted: SlidingWindowCounter,
-        told: ToldLevel?,
+        known: KnownLevel?,
         perSecond: Double,
         burst: Double,
         nowMs: Long
-    ): Double {
-        val started = startedAtMs
-        return if (told != null) {
-            val startLevel = minOf(told.units, burst)
-            granted.bucketLevel(perSecond, burst, told.atMs, nowMs, startLevel)
-        } else if (started != null) {
-            granted.bucketLevel(perSecond, burst, startMs = started, nowMs)
-        } else {
-            // Starts with half of the burst, as other hosts may have granted the rest, or with
-            // what the known grants leave if that is less.
-            val unspent = burst + perSecond * SlidingWindowCounter.WINDOW_S - granted.sum(nowMs)
-            minOf(unspent, burst * INITIAL_BURST_SHARE)
-        }
+    ): Double = if (known != null) {
+        val startLevel = minOf(known.units, burst)
+        granted.bucketLevel(perSecond, burst, known.atMs, startLevel, nowMs)
+    } else {
+        // Starts with half of the burst, as other hosts may have granted the rest, or with what
+        // the known grants leave if that is less.
+        val unspent = burst + perSecond * SlidingWindowCounter.WINDOW_S - granted.sum(nowMs)
+        minOf(unspent, burst * INITIAL_BURST_SHARE)
     }
 
     /** This host's copy of an account's bucket, and what it is based on. */
@@ -280,7 +275,7 @@
         val left: Double get() = level - unreported
     }
 
-    private class ToldLevel(val units: Double, val atMs: Long)
+    private class KnownLevel(val units: Double, val atMs: Long)
 
     private companion object {
         const val INITIAL_BURST_SHARE = 0.5
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlidingWindowCounter.kt
@@ -41,8 +41,8 @@
         perSecond: Double,
         burst: Double,
         startMs: Long,
-        nowMs: Long,
-        startLevel: Double = 0.0
+        startLevel: Double,
+        nowMs: Long
     ): Double {
         advanceTo(nowMs / BUCKET_MS)
         var level = startLevel
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -101,11 +101,7 @@
     /** Guards against a request of a flood that each host grants before it misses totals. */
     @Example
     fun contendedAccountIsRefusedWhileTotalsAreLate() {
-        val quotas = QuotaLimiter()
-        quotas.startEmpty(0)
-        quotas.totalsLateAfterMs = 200
-        quotas.onPeerTotals("hub", emptyMap(), 0)
-        quotas.adoptLevels(mapOf("a" to 400.0, "b" to 900.0), 0)
+        val quotas = startedWith(mapOf("a" to 400.0, "b" to 900.0))
         assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 200)).isNull()
         assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 201)).isEqualTo(200)
         assertThat(quotas.tryConsume("b", 100.0, 1_000.0, 50, 201)).isNull()
@@ -116,11 +112,7 @@
     /** Guards against callers that are told to return before there can be anything for them. */
     @Example
     fun timeToReturnOfAnEmptyBucketHoldsAlsoWhileTotalsAreLate() {
-        val quotas = QuotaLimiter()
-        quotas.startEmpty(0)
-        quotas.totalsLateAfterMs = 200
-        quotas.onPeerTotals("hub", emptyMap(), 0)
-        quotas.adoptLevels(mapOf("a" to 50.0), 0)
+        val quotas = startedWith(mapOf("a" to 50.0))
         assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 0)).isNull()
         assertThat(quotas.tryConsume("a", 100.0, 1_000.0, 50, 201)).isBetween(295, 305)
     }
@@ -250,6 +242,14 @@
     }
 
     /** The units of the request that a host gets in one of four steps, or 0. */
+    /** A limiter that has just been told [levels], and whose totals are late after 200 ms. */
+    private fun startedWith(levels: Map<String, Double>) = QuotaLimiter().apply {
+        startEmpty(0)
+        totalsLateAfterMs = 200
+        onPeerTotals("hub", emptyMap(), 0)
+        adoptLevels(levels, 0)
+    }
+
     private fun randomUnits(random: Random): Long =
         if (random.nextInt(4) == 0) random.nextLong(50, 400) else 0
 
