Refuse a request that gets a slot as the process ends, instead of sending it

Callers saw 502 (may have run) at the end of a planned stop for a request that had waited in the queue and reached no target; 503 (did not run) is true and lets them return elsewhere.

Cause: ProcessEnd ends requests one after the other. The first ones release their slots, which the scheduler gives to requests that wait and are not ended yet; these counted as sent, and were cut off while they connected.

Each slot that is freed by the end is freed after ProcessEnd.isReached was set, so one check between the decision and the send reaches all of them.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -190,6 +190,8 @@
                 state.avoid += targetId
                 return SendResult.NotRun("target is gone")
             }
+            // The slot may be that of a request that was just ended, as this one is about to be.
+            if (processEnd.isReached) return SendResult.NotRun("the process ends")
             onSend(state, decision)
             val policy = stallPolicy(state, decision.firstEventMs)
             isSlotInUse = true
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.edge.entry.AdmissionController
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.InFlightRequests
+import org.bronzetide.edge.forwarding.ProcessEnd
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
@@ -46,7 +47,8 @@
         val forwarderClock: MonotonicClock = MonotonicClock.System,
         val clientClock: MonotonicClock = MonotonicClock.System,
         val logClock: MonotonicClock = MonotonicClock.System,
-        val metrics: EdgeMetrics = EdgeMetrics()
+        val metrics: EdgeMetrics = EdgeMetrics(),
+        val processEnd: ProcessEnd = ProcessEnd()
     )
 
     private val clock = MonotonicClock.System
@@ -94,7 +96,8 @@
                 budget,
                 findTarget,
                 log,
-                metrics
+                metrics,
+                parts.processEnd
             ),
             { limits },
             inFlightRequests,
