Count a run from its send, so that a request that was never sent is refused

Callers of a target that could not be reached got 504 or 502 (may have run) if their time or the process ended while the host was still connecting; so a request that is not safe to retry could not be sent again, although no target had seen it.

Cause: a run counted as possible from before the connection was made, and stayed so when the wait for it was cancelled. A connect that failed in time was told apart, one that was cut off was not.

RunRecord.Run now counts from TargetClient's onSend, just before the first byte is written. What ends before it needs no record; what is thrown after it still counts as possible.

UnsentRequestTest asks at a listener with a full backlog: 504 before, 503 now.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -195,7 +195,8 @@
             onSend(state, decision)
             val policy = stallPolicy(state, decision.firstEventMs)
             isSlotInUse = true
-            return awaitAttempt(state, targetId) { attempt(state, target, policy) }
+            val run = state.call.runs.Run()
+            return awaitAttempt(state, targetId, run) { attempt(state, target, policy, run) }
         } finally {
             if (!isSlotInUse) scheduler.release(state.ticketSequence, FleetOutcome.UNSENT)
         }
@@ -204,9 +205,10 @@
     private suspend fun attempt(
         state: State,
         target: TargetEntry,
-        policy: StallPolicy
+        policy: StallPolicy,
+        run: RunRecord.Run
     ): TargetClient.Attempt {
-        val beginning = begin(state, target, state.ticketSequence, policy)
+        val beginning = begin(state, target, state.ticketSequence, policy, run)
         return when (beginning) {
             is TargetClient.Beginning.Ended -> beginning.attempt
 
@@ -219,29 +221,36 @@
     private suspend fun complete(
         state: State,
         beginning: TargetClient.Beginning.Responding
-    ): SendResult = awaitAttempt(state, beginning.target.id) {
-        val policy = stallPolicy(state, 0)
-        client.complete(state.call, beginning, state.relay, policy, state.bodies)
+    ): SendResult {
+        val run = state.call.runs.Run().apply { onSend() }
+        return awaitAttempt(state, beginning.target.id, run) {
+            val policy = stallPolicy(state, 0)
+            client.complete(state.call, beginning, state.relay, policy, state.bodies)
+        }
     }
 
     private suspend fun begin(
         state: State,
         target: TargetEntry,
         ticketSequence: Long,
-        policy: StallPolicy
+        policy: StallPolicy,
+        run: RunRecord.Run
     ): TargetClient.Beginning = client.begin(
         state.call,
         target,
         state.relay.lastEventId,
         policy,
-        SendObserver(state, target, ticketSequence)
+        SendObserver(state, target, ticketSequence, run)
     )
 
     private inner class SendObserver(
         private val state: State,
         private val target: TargetEntry,
-        private val ticketSequence: Long
+        private val ticketSequence: Long,
+        private val run: RunRecord.Run
     ) : TargetClient.Observer {
+        override fun onSend() = run.onSend()
+
         override fun onReport(report: TargetReport) {
             scheduler.onReport(ticketSequence, report)
             val restMs = report.restMs ?: return
@@ -269,10 +278,9 @@
     private suspend fun awaitAttempt(
         state: State,
         targetId: String,
+        run: RunRecord.Run,
         block: suspend () -> TargetClient.Attempt
     ): SendResult {
-        val runs = state.call.runs
-        runs.onBegin()
         state.currentTargetId = targetId
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
@@ -280,7 +288,7 @@
             val attempt = block()
             outcome = attempt.outcome
             msPerEvent = attempt.msPerEvent
-            runs.onEnd(mayHaveRun = attempt.result !is SendResult.NotRun)
+            run.onEnd(mayHaveRun = attempt.result !is SendResult.NotRun)
             attempt.result
         } finally {
             scheduler.release(state.ticketSequence, outcome, msPerEvent)
@@ -315,17 +323,15 @@
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
         val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
         var outcome = FleetOutcome.UNSENT
-        var mayHaveRun = false
-        var isBegun = false
+        var mayHaveRun = true
+        val run = call.runs.Run()
         try {
             // A second run at the silent target would not help.
             val target = findTarget(decision.targetId)?.takeIf { it.id != current } ?: return false
             onSend(state, decision, current)
-            call.runs.onBegin()
-            isBegun = true
-            mayHaveRun = true
             outcome = FleetOutcome.CANCELLED
-            val beginning = begin(state, target, ticket.sequence, StallPolicy.WaitUntilDeadline)
+            val policy = StallPolicy.WaitUntilDeadline
+            val beginning = begin(state, target, ticket.sequence, policy, run)
             when (beginning) {
                 is TargetClient.Beginning.Ended -> {
                     val attempt = beginning.attempt
@@ -347,7 +353,7 @@
             return state.replacement != null
         } finally {
             // A replacement's run begins anew when it takes over from the silent one's.
-            if (isBegun) call.runs.onEnd(mayHaveRun && state.replacement == null)
+            run.onEnd(mayHaveRun && state.replacement == null)
             if (state.replacement == null) scheduler.release(ticket.sequence, outcome)
         }
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RunRecord.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RunRecord.kt
@@ -15,14 +15,25 @@
     /** Whether it is certain that no target has run the request, or runs it. */
     val hasNotRun: Boolean get() = possibleCount == 0 && inProgressCount == 0
 
-    /** Records that the request is about to be sent to a target. */
-    fun onBegin() {
-        inProgressCount++
-    }
+    /** A run at one target. */
+    inner class Run {
+        private var isInProgress = false
+
+        /** Records that the request is about to be sent to the target. */
+        fun onSend() {
+            isInProgress = true
+            inProgressCount++
+        }
 
-    /** Records that a run has ended, and whether the target may have made it. */
-    fun onEnd(mayHaveRun: Boolean) {
-        if (mayHaveRun) possibleCount++
-        inProgressCount--
+        /**
+         * Records that the run has ended, and whether the target may have made it. A run that was
+         * not sent does not count.
+         */
+        fun onEnd(mayHaveRun: Boolean) {
+            if (!isInProgress) return
+            isInProgress = false
+            inProgressCount--
+            if (mayHaveRun) possibleCount++
+        }
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -61,8 +61,11 @@
         class Ended(val attempt: Attempt) : Beginning()
     }
 
-    /** Gets what targets say besides the response to the request. */
+    /** Gets the progress of a send, and what targets say besides the response to the request. */
     interface Observer {
+        /** The request is about to be sent on a connection; its target has not seen it before. */
+        fun onSend()
+
         /** The head of the response told [report] about its target. */
         fun onReport(report: TargetReport)
 
@@ -97,6 +100,7 @@
         }
         var isOpen = false
         try {
+            observer.onSend()
             connection.send(outgoing(call, target, resumeAfterId))
             val response = stallPolicy.await(isFirst = true) {
                 receiveOwn(call, connection, observer)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/ProcessEndTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/UnsentRequestTest.kt
@@ -1,5 +1,10 @@
 package org.bronzetide.edge.forwarding
 
+import java.io.IOException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlinx.coroutines.runBlocking
@@ -24,7 +29,10 @@
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTarget
 
-class ProcessEndTest {
+/** Requests that end between the decision to send them and their send. */
+class UnsentRequestTest {
+    private val processEnd = ProcessEnd()
+
     /**
      * Guards against requests that are told that they may have run although they were not sent:
      * the end of others frees a slot for them just before it ends them too.
@@ -32,18 +40,51 @@
     @Example
     fun requestThatGetsASlotAsTheProcessEndsIsRefused() {
         val arrivals = AtomicInteger()
-        val processEnd = ProcessEnd()
         val target = StandInServer { request, _, connection ->
             arrivals.incrementAndGet()
             EdgeTestEnvironment.sendSignedResponse(request, connection)
         }
+        // The target is looked up between the scheduler's decision and the send.
+        val status = target.use { statusBefore(it.port, onLookup = processEnd::end) }
+        assertThat(status).isEqualTo(503)
+        assertThat(arrivals.get()).isZero()
+    }
+
+    /** Guards against the same for a target that cannot be reached before the deadline. */
+    @Example
+    fun requestThatIsNotConnectedAtItsDeadlineIsRefused() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { target ->
+            val backlog = fillBacklog(target.localPort)
+            try {
+                assertThat(statusBefore(target.localPort)).isEqualTo(503)
+            } finally {
+                backlog.forEach { it.close() }
+            }
+        }
+    }
+
+    /** Connects until the server at [port], which accepts nothing, drops what arrives. */
+    private fun fillBacklog(port: Int): List<Socket> {
+        val sockets = ArrayList<Socket>()
+        while (true) {
+            val socket = Socket()
+            sockets += socket
+            try {
+                socket.connect(InetSocketAddress("127.0.0.1", port), 200)
+            } catch (_: IOException) {
+                return sockets
+            }
+        }
+    }
+
+    /** The status of a request to a host whose only target listens at [targetPort]. */
+    private fun statusBefore(targetPort: Int, onLookup: () -> Unit = {}): Int {
         val entry =
-            TargetEntry("t", "s", SocketAddress("127.0.0.1", target.port), "z1", 4, false, 0)
+            TargetEntry("t", "s", SocketAddress("127.0.0.1", targetPort), "z1", 4, false, 0)
         val parts = SessionServer.Parts(
             manifest = { MANIFEST },
-            // The target is looked up between the scheduler's decision and the send.
             findTarget = {
-                processEnd.end()
+                onLookup()
                 entry
             },
             scheduler = FleetScheduler("z1", Random(1)).apply {
@@ -51,9 +92,7 @@
             },
             processEnd = processEnd
         )
-        val status = target.use { SessionServer(parts = parts).use { ask(it.port) } }
-        assertThat(status).isEqualTo(503)
-        assertThat(arrivals.get()).isZero()
+        return SessionServer(parts = parts).use { ask(it.port) }
     }
 
     private fun ask(port: Int): Int = runBlocking {
@@ -71,8 +110,9 @@
     }
 
     private companion object {
+        /** Its deadline comes before connecting to a target is given up. */
         val ROUTE = Route(
-            "a", "h", "/", RouteKind.NonIdempotent, timeoutMs = 2_000, targetLatencyMs = 100,
+            "a", "h", "/", RouteKind.NonIdempotent, timeoutMs = 200, targetLatencyMs = 100,
             priority = 1, maxAttempts = 1, isPublic = true, listOf(WeightedService("s", 1.0))
         )
         val MANIFEST = Manifest(1, listOf(ROUTE), emptyMap(), emptyList(), CallerLimits())
