Add the events of a stream in a function that the first compiler can compile

Hosts run with C1 only, so these are interpreted for good. One of ours holds work of its own: StreamRelay.readEvents, which filters and counts events for each chunk of each stream.

No behaviour changes. The others that C1 gives up are loops around calls (MessageBody.readExactly, readAll) or Ktor's parser, and stay.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -99,13 +99,24 @@
         splitter: EventSplitter
     ): List<EventSplitter.Event>? {
         val events = ArrayList<EventSplitter.Event>()
-        while (events.none { it.hasContent }) {
+        while (true) {
             val chunk = response.body.readAvailable() ?: return events.ifEmpty { null }
-            events += splitter.feed(chunk).filterNot(::isDuplicate)
-            val heldBytes = events.sumOf { it.bytes.size }
-            if (heldBytes > MAX_HELD_BYTES) events.removeAll { !it.hasContent }
+            if (addNewEvents(events, splitter.feed(chunk))) return events
         }
-        return events
+    }
+
+    /**
+     * Adds those of [found] that were not relayed yet to [events], and returns whether there is one
+     * with content. Apart from the loop that suspends, which the JVM's first compiler cannot compile.
+     */
+    private fun addNewEvents(
+        events: MutableList<EventSplitter.Event>,
+        found: List<EventSplitter.Event>
+    ): Boolean {
+        events += found.filterNot(::isDuplicate)
+        val heldBytes = events.sumOf { it.bytes.size }
+        if (heldBytes > MAX_HELD_BYTES) events.removeAll { !it.hasContent }
+        return events.any { it.hasContent }
     }
 
     private suspend fun sendToCaller(
