--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -107,7 +107,7 @@
 
     /**
      * Adds those of [found] that were not relayed yet to [events], and returns whether there is one
-     * with content. Apart from the loop that suspends, which the JVM's first compiler cannot compile.
+     * with content. Apart from the loop, as C1 cannot compile a loop that suspends.
      */
     private fun addNewEvents(
         events: MutableList<EventSplitter.Event>,
