Test ports: draw the ports of one process together, so that they differ

ResponseMemoryTest drew them alike. Both now get four different ones, as the embedded nodes do.

SoakTest and ResponseMemoryTest pass, with formatter and linter.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ResponseMemoryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ResponseMemoryTest.kt
@@ -22,13 +22,7 @@
     private val environment = EdgeTestEnvironment()
     private val server = ServerSocket(0, 400, InetAddress.getByName("127.0.0.1"))
     private val callers = Executors.newCachedThreadPool()
-    private val ports = SoakNode.Ports(
-        EdgeTestEnvironment.freePort(),
-        EdgeTestEnvironment.freePort(),
-        EdgeTestEnvironment.freePort(),
-        EdgeTestEnvironment.freePort(),
-        environment.store.port
-    )
+    private val ports = SoakNode.Ports.free(environment.store.port)
     private val directory = Files.createTempDirectory("response-memory-").toFile()
     private val node = SoakNode("n1", IP, ports, seedAddresses = "", directory)
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/Soak.kt
@@ -33,13 +33,7 @@
     private val directory: File = Files.createTempDirectory("soak-$seed-").toFile()
     private val store = StoreStandIn()
     private val storeProxy = FaultProxy(store.port)
-    private val ports = SoakNode.Ports(
-        freePort(),
-        freePort(),
-        freePort(),
-        freePort(),
-        storeProxy.port
-    )
+    private val ports = SoakNode.Ports.free(storeProxy.port)
     private val loop = TrafficLoop()
     private val pool = ConnectionPool(loop, MonotonicClock.System)
     private val requestCounter = AtomicLong()
@@ -306,8 +300,6 @@
             "tenants":[{"name":"${SoakChecker.ACCOUNT}","api_keys":["key-1"]}]}"""
     )
 
-    private fun freePort(): Int = EdgeTestEnvironment.freePort()
-
     private companion object {
         const val CALLERS = 16
         const val FAULT_SERIES = 2
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/soak/SoakNode.kt
@@ -2,6 +2,7 @@
 
 import java.io.File
 import java.util.concurrent.TimeUnit
+import org.bronzetide.edge.standin.EdgeTestEnvironment
 
 /** An edge node that runs as a separate process, which a soak starts, signals and restarts. */
 class SoakNode(
@@ -12,7 +13,21 @@
     private val directory: File
 ) : AutoCloseable {
     /** The ports of the nodes of a soak; the nodes listen on different loopback addresses. */
-    class Ports(val callers: Int, val ready: Int, val control: Int, val peers: Int, val store: Int)
+    class Ports(
+        val callers: Int,
+        val ready: Int,
+        val control: Int,
+        val peers: Int,
+        val store: Int
+    ) {
+        companion object {
+            /** Different ports that are free now, for nodes before the store at [storePort]. */
+            fun free(storePort: Int): Ports {
+                val ports = EdgeTestEnvironment.freePorts(4)
+                return Ports(ports[0], ports[1], ports[2], ports[3], storePort)
+            }
+        }
+    }
 
     private var process: Process? = null
     private var startCount = 0
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -146,7 +146,8 @@
          */
         fun freePort(): Int = freePorts(1).single()
 
-        private fun freePorts(count: Int): List<Int> =
+        /** Returns [count] different ports that are free now, as [freePort] chooses them. */
+        fun freePorts(count: Int): List<Int> =
             generateSequence { firstPort + Random.nextInt(PORTS_PER_RANGE) }.distinct()
                 .filter(::isFree).take(count).toList()
 
