Name the age at which totals are late; say what a send's start means

QuotaExchange multiplied the interval by 5 / 4 in place; it is LATE_INTERVALS now, 1.25, which gives the same whole milliseconds. TargetClient.Observer.onSend said that the target has not seen the request before, which a repeat may have. No behaviour changes.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -63,7 +63,7 @@
 
     /** Gets the progress of a send, and what targets say besides the response to the request. */
     interface Observer {
-        /** The request is about to be sent on a connection; its target has not seen it before. */
+        /** The request is about to be written; until then this send has not reached its target. */
         fun onSend()
 
         /** The head of the response told [report] about its target. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -58,7 +58,7 @@
         val nowMs = clock.nowMs()
         lastUpdateAtMs = nowMs
         quotas.propagationDelayMs = intervalMs * UPDATE_INTERVALS
-        quotas.totalsLateAfterMs = maxOf(intervalMs * 5 / 4, MIN_LATE_MS)
+        quotas.totalsLateAfterMs = maxOf((intervalMs * LATE_INTERVALS).toLong(), MIN_LATE_MS)
         val totals = message.quotas.associate { it.account to it.units }
         quotas.onPeerTotals(message.aggregator, totals, nowMs, message.aggregatorAgeMs, isPrimary)
         // Hosts that do not report to the aggregator may grant their share by themselves.
@@ -175,6 +175,9 @@
         /** Longer than the pauses of a process that is short of processor time. */
         private const val MIN_UNKNOWN_MS = 300L
 
+        /** Intervals after the last totals from which on the next ones are late. */
+        private const val LATE_INTERVALS = 1.25
+
         /** A timer or a datagram may be late by some ten milliseconds. */
         private const val MIN_LATE_MS = 100L
 
