Order, place and refuse requests for the whole fleet while room is short

Cause: an account's priority replaced the route's, so nothing was urgent where accounts have one priority; between accounts of one rank nothing decided; hosts of a large fleet chose targets by counts that are older than a run, took the best of four and so met at the same targets, and shared the slots of short runs as if each were held for a whole exchange; an account over its quota was told to return when the bucket has units for one request.

Change: a request's rank is the account's priority, then the route's (RequestRank), then what its account got recently compared with the median account (AccountShares, from the totals that quotas exchange anyway). Counts of other hosts lose weight with their age against a typical run (ExpectedCounts, FleetView), engines keep a slot for more urgent requests, and a stream is not sent to an engine on which it cannot end in time while a faster one may become free. A target that starts again begins with nothing learned. An account that asks for more than its quota keeps units for its urgent requests, and its refused callers return spread over the expected excess.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -50,6 +50,7 @@
 import org.bronzetide.platform.fleet.StoredObject
 import org.bronzetide.platform.fleet.StoredObjectCodec
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.scheduling.fleet.AccountShares
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTarget
 import org.bronzetide.scheduling.fleet.QuotaLimiter
@@ -78,14 +79,16 @@
     private val storePool =
         ConnectionPool(traffic, clock, ConnectionPool.Policy(isProbed = true))
     private val store = FleetStore(storePool, settings.storeAddress)
-    private val scheduler = FleetScheduler(settings.availabilityZone, Random.Default)
+    private val accountShares = AccountShares()
+    private val scheduler =
+        FleetScheduler(settings.availabilityZone, Random.Default, accountShares)
     private val manifestCache = ManifestCache(board, control, log)
     private val targetRegistry =
         TargetRegistry(board, control, clock, log, settings.bounds.stabilizationMs)
     private val inFlightRequests = InFlightRequests()
     private val bodies = BodyBudget.ofHeap()
     private val responseMemory = ResponseMemory.ofHeap()
-    private val quotaLimiter = QuotaLimiter()
+    private val quotaLimiter = QuotaLimiter(accountShares)
     private val peerClient = PeerStateClient(pool, settings.controlAddress.port)
     private val peers = PeerSocket(
         SocketAddress(settings.ip, settings.peerPorts.first),
@@ -195,6 +198,7 @@
         board.subscribe(BlackboardKeys.targets) { updateTargets() }
         board.subscribe(BlackboardKeys.manifest) {
             updateTargets()
+            updateQuotas()
             firstManifest.complete(Unit)
         }
         control.post {
@@ -354,6 +358,11 @@
         }
     }
 
+    private fun updateQuotas() {
+        val accounts = manifest()?.accounts.orEmpty()
+        accountShares.updateQuotas(accounts.associate { it.name to it.quotaPerS })
+    }
+
     private fun updateTargets() {
         scheduler.updateTargets(board[BlackboardKeys.targets].values.map(::toFleetTarget))
         scheduler.decide(clock.nowMs())
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -12,6 +12,7 @@
 import org.bronzetide.edge.entry.AdmissionController
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.InFlightRequests
+import org.bronzetide.edge.entry.QuotaCharge
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
 import org.bronzetide.edge.forwarding.TargetClient
@@ -146,8 +147,7 @@
     private fun listen() = TcpServer(LOOPBACK, 0, loop)
 
     private object NoQuotas : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
-            null
+        override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? = null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.edge.forwarding.Admission
 import org.bronzetide.edge.forwarding.Call
+import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.http.IncomingRequest
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.Manifest
@@ -27,10 +28,10 @@
     /** Limits the units that each account consumes. */
     interface AccountQuotas {
         /**
-         * Consumes [units] of [account]'s quota for the request [requestId] and returns `null`, or
-         * returns the milliseconds after which to retry if the quota is exhausted.
+         * Consumes [charge] from [account]'s quota and returns `null`, or returns the milliseconds
+         * after which to retry if the quota is exhausted.
          */
-        suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long?
+        suspend fun tryConsume(account: Account, charge: QuotaCharge): Long?
 
         /** Returns [units] that were consumed for a request that no target ran. */
         fun refund(account: Account, units: Long)
@@ -66,9 +67,7 @@
         val priority = account?.priority ?: route.priority
         // Nothing that can fail follows the consumption of units, so that none are lost.
         val call = createCall(request, body, arrivedAtMs, current, metadata, route, account)
-        val retryAfterMs = account?.let {
-            quotas.tryConsume(it, unitsOf(metadata, it), metadata.requestId)
-        }
+        val retryAfterMs = account?.let { quotas.tryConsume(it, chargeOf(call, it, current)) }
         if (account != null && retryAfterMs != null) {
             val logFields = versionField + listOf(
                 "units" to unitsOf(metadata, account),
@@ -127,6 +126,13 @@
         return if (engine == null) 0 else tokens / engine.tokensPerEvent
     }
 
+    private fun chargeOf(call: Call, account: Account, current: Manifest) = QuotaCharge(
+        unitsOf(call.metadata, account),
+        call.requestId,
+        current.priorityPosition(call.route),
+        (call.deadlineAtMs - call.arrivedAtMs) / RequestForwarder.RETRY_AFTER_DIVISOR
+    )
+
     private fun unitsOf(metadata: RequestMetadata, account: Account): Long {
         if (!account.isQuotaInTokens) return 1
         val prompt = metadata.promptTokens ?: return account.defaultRequestTokens
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/QuotaLimiterAdapter.kt
@@ -1,11 +1,13 @@
 package org.bronzetide.edge.entry
 
+import kotlin.random.Random
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.RetryAdvice
 
 /**
  * Lets coroutines on the traffic loop use [limiter], which runs on the control thread.
@@ -22,11 +24,14 @@
     private val limiter: QuotaLimiter,
     private val bounds: HostSettings.Bounds,
     private val log: DecisionLog,
+    private val random: Random = Random.Default,
     /** Whether requests are queued because their targets have no free capacity. */
     private val hasQueuedRequests: () -> Boolean
 ) : AdmissionController.AccountQuotas {
-    override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? {
-        if (account.quotaPerS <= 0) return null
+    private val retryAdvices = HashMap<String, RetryAdvice>()
+
+    override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? {
+        val units = charge.units
         return control.call {
             val factor = 1 + bounds.quotaOverageRatio * GRANTED_OVERAGE_SHARE
             val hasSlack = account.isQuotaInTokens && !hasQueuedRequests()
@@ -34,10 +39,12 @@
             val burst = account.quotaBurst * factor
             val nowMs = clock.nowMs()
             val perSecond = account.quotaPerS * factor
-            val retryAfterMs =
-                limiter.tryConsume(account.name, perSecond, burst, units, nowMs, slack)
+            val reserved = charge.priorityPosition * MAX_RESERVED_SHARE
+            val waitMs = limiter
+                .tryConsume(account.name, perSecond, burst, units, nowMs, slack, reserved)
+            val retryAfterMs = waitMs?.let { adviceFor(account, charge, it, nowMs) }
             try {
-                logNearQuota(account.name, requestId, units, retryAfterMs == null, nowMs)
+                logNearQuota(account.name, charge.requestId, units, retryAfterMs == null, nowMs)
             } catch (cause: Throwable) {
                 if (retryAfterMs == null) limiter.refund(account.name, units)
                 throw cause
@@ -46,6 +53,15 @@
         }
     }
 
+    /**
+     * When a refused caller is to return. All that are refused at a time would return together when
+     * the bucket has units for one of them, so after the first refusals they are spread over the
+     * time that the excess is expected to last.
+     */
+    private fun adviceFor(account: Account, charge: QuotaCharge, waitMs: Long, nowMs: Long): Long =
+        retryAdvices.getOrPut(account.name) { RetryAdvice(random) }
+            .onOverQuota(waitMs, charge.maxRetryAfterMs, nowMs)
+
     /** Logs all refusals, and the grants of an account that has used most of its burst. */
     private fun logNearQuota(
         account: String,
@@ -78,5 +94,11 @@
         const val GRANTED_SLACK_SHARE = 0.1
 
         private const val LOGGED_LEVEL_SHARE = 0.1
+
+        /**
+         * The share of a burst that the least urgent requests of an account leave to the others
+         * while it asks for more than its quota: half a burst outlasts a wave of urgent ones.
+         */
+        private const val MAX_RESERVED_SHARE = 0.5
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
@@ -5,6 +5,7 @@
 import org.bronzetide.platform.fleet.RequestMetadata
 import org.bronzetide.platform.fleet.Route
 import org.bronzetide.scheduling.fleet.PromptPart
+import org.bronzetide.scheduling.fleet.RequestRank
 
 /**
  * An admitted request with its complete body. Times are in milliseconds on the process's monotonic
@@ -36,9 +37,12 @@
     /** The parts of the prompt that other requests may share; the last part is not shared. */
     val sharedParts: List<PromptPart> get() = metadata.promptParts.dropLast(1).map(::PromptPart)
 
-    /** 0 is the most urgent. The account's priority overrides the route's. */
+    /** The account's priority if it has one, else the route's; 0 is the most urgent. */
     val priority: Int get() = account?.priority ?: route.priority
 
+    /** The urgency by the account's priority and, within it, the route's. */
+    val rank: RequestRank get() = RequestRank.of(account?.priority, route.priority)
+
     /**
      * The time by which the first event, or the whole response, meets the route's latency target.
      *
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -140,14 +140,16 @@
         return FleetTicket(
             ticketSequences.incrementAndGet(),
             call.service,
-            call.priority,
+            call.rank.value,
             call.metadata.promptTokens ?: 0,
             call.expectedEvents,
             dueAtMs = dueAtMs(state),
             startByMs = startByMs(state),
             avoid,
             maxRetryAfterMs = (call.deadlineAtMs - clock.nowMs()) / RETRY_AFTER_DIVISOR,
-            sharedParts = call.sharedParts
+            sharedParts = call.sharedParts,
+            account = call.account?.name,
+            endByMs = call.deadlineAtMs
         )
     }
 
@@ -303,7 +305,8 @@
         log.request(
             "sent", call.requestId, "target" to decision.targetId, "attempt" to state.sends,
             "route" to call.route.name, "account" to call.account?.name,
-            "priority" to call.priority, "dueInMs" to call.dueAtMs - clock.nowMs(),
+            "priority" to call.priority, "rank" to call.rank.value,
+            "dueInMs" to call.dueAtMs - clock.nowMs(),
             "timeLeftMs" to call.deadlineAtMs - clock.nowMs(),
             "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
             "predictedMs" to decision.firstEventMs, "promptTokens" to call.metadata.promptTokens,
@@ -488,7 +491,7 @@
         private const val MAX_SENDS = 4
 
         /** Callers return within a third of the time that they have left. */
-        private const val RETRY_AFTER_DIVISOR = 3
+        const val RETRY_AFTER_DIVISOR = 3
         const val DEFAULT_RETRY_AFTER_MS = 300L
 
         // Callers abandon a stream after the longest of these times without an event.
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
@@ -49,8 +49,7 @@
     )
 
     private object UnlimitedQuotas : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
-            null
+        override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? = null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/QueuedCallerLeavesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/QueuedCallerLeavesTest.kt
@@ -23,8 +23,8 @@
     private val consumedUnits = AtomicLong()
 
     private val quotas = object : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? {
-            consumedUnits.addAndGet(units)
+        override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? {
+            consumedUnits.addAndGet(charge.units)
             return null
         }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/RequestFailureTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/RequestFailureTest.kt
@@ -216,13 +216,9 @@
         }
 
         private inner class Quotas : AdmissionController.AccountQuotas {
-            override suspend fun tryConsume(
-                account: Account,
-                units: Long,
-                requestId: String?
-            ): Long? {
+            override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? {
                 fail(Stage.QUOTA)
-                consumedUnits.addAndGet(units)
+                consumedUnits.addAndGet(charge.units)
                 return null
             }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.edge.entry.AdmissionController
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.InFlightRequests
+import org.bronzetide.edge.entry.QuotaCharge
 import org.bronzetide.edge.forwarding.ProcessEnd
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
@@ -118,8 +119,7 @@
     }
 
     private object Unlimited : AdmissionController.AccountQuotas {
-        override suspend fun tryConsume(account: Account, units: Long, requestId: String?): Long? =
-            null
+        override suspend fun tryConsume(account: Account, charge: QuotaCharge): Long? = null
 
         override fun refund(account: Account, units: Long) = Unit
     }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -9,29 +9,34 @@
  * target gets no more requests than it runs concurrently, and the others wait in [WaitingQueue].
  * The scheduler does no I/O and has no clock. Single-threaded.
  */
-public class FleetScheduler(private val zone: String, private val random: Random) {
+public class FleetScheduler(
+    zone: String,
+    private val random: Random,
+    private val accountShares: AccountShares = AccountShares()
+) {
     private val targets = LinkedHashMap<String, TargetLoad>()
+
+    /** The targets of each service that do not leave. */
+    private var activeTargets: Map<String, List<TargetLoad>> = emptyMap()
     private val engine = EngineLatencyModel()
     private val responseTimes = ResponseTimes()
     private val waiting = WaitingQueue(responseTimes::usualMs)
     private val running = HashMap<Long, Run>()
-    private val overloadPolicies = HashMap<String, OverloadPolicy>()
+    private val overloadPolicies = OverloadPolicies(random)
+    private val fleet = FleetView(random)
+    private val selector = TargetSelector(zone, random, engine, fleet)
 
     /** The parts of prompts that crash targets. Requests with such a part are refused. */
     public val poisonParts: PoisonPartDetector = PoisonPartDetector()
 
     /** The limits on requests that targets have stated. */
     public val limits: TargetLimits = TargetLimits()
-    private var peerDemands: Map<String, Map<Int, Int>> = emptyMap()
-
-    /** Decides whether a fraction of a slot counts as a whole one; differs between hosts. */
-    private var shareRounding = random.nextDouble()
 
     /**
      * The number of hosts that send to the same targets, including this one. With more hosts, the
      * known loads of the others are older, and more hosts would choose the same target.
      */
-    public var hostCount: Int = 1
+    public var hostCount: Int by fleet::hostCount
 
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
@@ -47,8 +52,15 @@
             if (load.spec.id !in listed) load.spec = load.spec.copy(isLeaving = true)
         }
         specs.forEach { spec ->
-            targets.getOrPut(spec.id) { TargetLoad(spec) }.spec = spec
+            val known = targets[spec.id]
+            if (known != null && known.spec.start == spec.start) {
+                known.spec = spec
+            } else {
+                // What was learned of an earlier start of the target does not hold for this one.
+                targets[spec.id] = TargetLoad(spec)
+            }
         }
+        activeTargets = targets.values.filter { !it.spec.isLeaving }.groupBy { it.spec.service }
         limits.updateTargets(specs)
     }
 
@@ -56,11 +68,10 @@
      * Replaces the loads of the other hosts on each target. They were counted [ageMs] milliseconds
      * before [nowMs]; what a target itself has reported since then is kept.
      */
-    public fun updatePeerLoads(
-        loads: Map<String, PeerLoad>,
-        nowMs: Long = 0,
-        ageMs: Long = 0
-    ): Unit = targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
+    public fun updatePeerLoads(loads: Map<String, PeerLoad>, nowMs: Long = 0, ageMs: Long = 0) {
+        targets.forEach { (id, load) -> load.updatePeerLoad(loads[id], nowMs, ageMs) }
+        fleet.onLoads(activeTargets, ageMs)
+    }
 
     /**
      * Records what the target of a ticket that was sent reports of itself: the requests in progress
@@ -93,10 +104,10 @@
      * [durationMs] milliseconds, less the permits for its limited targets.
      */
     public fun sendDemand(service: String, durationMs: Long, nowMs: Long): SendDemand {
-        val permits = targets.values.inService(service)
+        val permits = activeTargets[service].orEmpty()
             .sumOf { limits.permitCount(it.spec.ref, nowMs) }
         val waitingCount = waiting.count(service)
-        val expected = overloadPolicies[service]?.expectedSends(durationMs, nowMs) ?: 0
+        val expected = overloadPolicies.of(service).expectedSends(durationMs, nowMs)
         val sparePermits = (permits - waitingCount).coerceAtLeast(0)
         return SendDemand(
             (waitingCount - permits).coerceAtLeast(0),
@@ -118,8 +129,7 @@
 
     /** Replaces the demands of all other hosts together, by service and rank. */
     public fun updatePeerDemands(demands: Map<String, Map<Int, Int>>) {
-        peerDemands = demands
-        shareRounding = random.nextDouble()
+        fleet.onDemands(demands)
     }
 
     /** The slowdowns of targets observed since the last call, to report to the other hosts. */
@@ -134,8 +144,8 @@
 
     /** Queues [ticket]; [onDecision] gets its decision, during this call or a later one. */
     public fun enroll(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
-        waiting.add(ticket, nowMs, onDecision)
-        overloadPolicyOf(ticket).onArrival(nowMs)
+        waiting.add(ticket, nowMs, accountShares.bandOf(ticket.account, nowMs), onDecision)
+        overloadPolicies.of(ticket.service).onArrival(nowMs)
         decide(nowMs)
     }
 
@@ -184,7 +194,10 @@
             run.permit?.let { limits.returnPermit(run.target, it) }
         }
         run.load.onOutcome(outcome, nowMs) {
-            targets.values.inService(run.load.spec.service).mayEjectOne(nowMs)
+            activeTargets[run.load.spec.service].orEmpty().mayEjectOne(nowMs)
+        }
+        if (outcome != FleetOutcome.UNSENT) {
+            overloadPolicies.of(run.ticket.service).onRunEnd(nowMs - run.sentAtMs)
         }
         when (outcome) {
             FleetOutcome.ANSWERED -> run.onServed(poisonParts)
@@ -200,16 +213,15 @@
     /** Sends waiting tickets to free targets, and refuses those that cannot start in time. */
     public fun decide(nowMs: Long) {
         if (waiting.size == 0) return
-        val ahead = HashMap<String, Int>()
-        val restMsByService = HashMap<String, Long>()
+        val rounds = HashMap<String, Round>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
         try {
             for (ranked in waiting.inDispatchOrder(nowMs)) {
                 val ticket = ranked.entry.ticket
-                val restMs = restMsByService.getOrPut(ticket.service) {
-                    targets.values.inService(ticket.service).restMs(nowMs)
+                val round = rounds.getOrPut(ticket.service) {
+                    Round(activeTargets[ticket.service].orEmpty().restMs(nowMs))
                 }
-                val decision = decisionFor(ticket, ranked.rank, ahead, restMs, nowMs) ?: continue
+                val decision = decisionFor(ticket, ranked.rank, round, nowMs) ?: continue
                 waiting.remove(ticket.sequence)
                 if (decision is FleetDecision.Send) start(ranked, decision.targetId, nowMs)
                 decided += ranked.entry to decision
@@ -250,14 +262,13 @@
     }
 
     /**
-     * Returns the decision on [ticket], or `null` if it must wait. [ahead] counts the tickets of
-     * each service that wait before it; [restMs] is the time until a target wants requests.
+     * Returns the decision on [ticket], or `null` if it must wait. [round] holds what was decided
+     * on the tickets of its service that come before it.
      */
     private fun decisionFor(
         ticket: FleetTicket,
         rank: Int,
-        ahead: MutableMap<String, Int>,
-        restMs: Long,
+        round: Round,
         nowMs: Long
     ): FleetDecision? {
         poisonParts.findBlocked(ticket.sharedParts)?.let { part ->
@@ -265,51 +276,102 @@
             return FleetDecision.Refuse("prompt part ${part.id} crashes targets", remainingMs)
         }
         if (nowMs > ticket.startByMs) return refuse(ticket, "no target in time", nowMs)
-        if (nowMs + restMs > ticket.startByMs) {
-            val spreadMs = random.nextLong(restMs / 2 + 1)
-            return FleetDecision.Refuse("all targets rest", restMs + spreadMs)
+        if (nowMs + round.restMs > ticket.startByMs) {
+            val spreadMs = random.nextLong(round.restMs / 2 + 1)
+            return FleetDecision.Refuse("all targets rest", round.restMs + spreadMs)
         }
-        val position = ahead[ticket.service]
-        if (position == null) {
-            val best = choose(ticket, rank, nowMs)
-            if (best != null) {
-                val firstEventMs = engine.firstEventMs(best, ticket.promptTokens, nowMs)
-                return FleetDecision.Send(best.spec.id, firstEventMs.toLong())
-            }
-        } else {
-            val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
-            val policy = overloadPolicyOf(ticket)
-            if (!policy.mayStartInTime(ticket, isDeferred, position, nowMs)) {
-                return refuse(ticket, "too many ahead", nowMs)
+        if (round.mayPlace) {
+            when (val placement = place(ticket, rank, nowMs)) {
+                is Placement.Found -> {
+                    val load = placement.load
+                    val firstEventMs = engine.firstEventMs(load, ticket.promptTokens, nowMs)
+                    return FleetDecision.Send(load.spec.id, firstEventMs.toLong())
+                }
+
+                // The free targets are too slow for this one, but not for each of the next ones.
+                is Placement.Unsuitable -> round.unsuitableCount++
+
+                is Placement.NoneFree -> round.isFull = true
             }
         }
-        ahead[ticket.service] = (position ?: 0) + 1
+        val position = round.ahead++
+        if (position > 0 && !mayWait(ticket, rank, position, nowMs)) {
+            return refuse(ticket, "too many ahead", nowMs)
+        }
         return null
     }
 
+    private fun mayWait(ticket: FleetTicket, rank: Int, position: Int, nowMs: Long): Boolean {
+        val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
+        val slots = activeTargets[ticket.service].orEmpty().sumOf { it.spec.slots }
+        val ownSlots = if (fleet.isSmall) null else slots.toDouble() / hostCount
+        return overloadPolicies.of(ticket.service)
+            .mayStartInTime(ticket, isDeferred, position, ownSlots, nowMs)
+    }
+
+    /** What was decided on the waiting tickets of one service so far. */
+    private class Round(
+        /** The time until a target wants requests. */
+        val restMs: Long
+    ) {
+        /** The tickets that go on waiting. */
+        var ahead = 0
+
+        /** Whether no target is free for a ticket. */
+        var isFull = false
+
+        /** The tickets for which no free target was fast enough. */
+        var unsuitableCount = 0
+
+        val mayPlace: Boolean get() = !isFull && unsuitableCount <= MAX_UNSUITABLE
+    }
+
+    /** Where a ticket could be sent now. */
+    private sealed class Placement {
+        class Found(val load: TargetLoad) : Placement()
+
+        /** Targets are free, but on none of them could the response end in time. */
+        data object Unsuitable : Placement()
+
+        data object NoneFree : Placement()
+    }
+
     private fun refuse(ticket: FleetTicket, reason: String, nowMs: Long): FleetDecision {
-        val slots = targets.values.inService(ticket.service).sumOf { load ->
+        val slots = activeTargets[ticket.service].orEmpty().sumOf { load ->
             val inUse = limits.perSecond(load.spec.ref)?.let(OverloadPolicy::slotsAt)
             minOf(load.spec.slots.toDouble(), inUse ?: Double.MAX_VALUE)
         }
         val ahead = waiting.countAtLeastAsUrgent(ticket.priority)
-        val retryAfterMs = overloadPolicyOf(ticket).retryAfterMs(ticket, ahead, slots, nowMs)
+        val retryAfterMs = overloadPolicies.of(
+            ticket.service
+        ).retryAfterMs(ticket, ahead, slots, nowMs)
         return FleetDecision.Refuse(reason, retryAfterMs)
     }
 
-    private fun overloadPolicyOf(ticket: FleetTicket): OverloadPolicy =
-        overloadPolicies.getOrPut(ticket.service) { OverloadPolicy(random) }
-
-    private fun choose(ticket: FleetTicket, rank: Int, nowMs: Long): TargetLoad? {
-        val (limited, others) = targets.values.inService(ticket.service).usable(nowMs)
-            .partition { limits.perSecond(it.spec.ref) != null }
+    private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement {
+        val usable = activeTargets[ticket.service].orEmpty().usable(nowMs)
+        val counts = fleet.expectedCounts(
+            ticket.service,
+            overloadPolicies.of(ticket.service).typicalRunMs,
+            nowMs
+        )
+        val (limited, others) = usable.partition { limits.perSecond(it.spec.ref) != null }
         // Permits are shares already, and are lost if they are not used.
         val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
-            others.takeUnless { usesOwnShare(ticket.service, rank, it, nowMs) }.orEmpty()
-        val candidates = free.filter { it.count < it.spec.slots }
-        val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
+            others.takeUnless { usesOwnShare(ticket.service, rank, it, counts, nowMs) }.orEmpty()
+        val reserved = fleet.reservedSlots(ticket.service, rank, usable)
+        val candidates = free.filter { counts.isFree(it, reserved) }
+        if (candidates.isEmpty()) return Placement.NoneFree
+        val suitable = candidates.filter { selector.canEndInTime(it, ticket, nowMs) }
+        // A faster target may become free while the ticket can still wait for it.
+        val isWorthWaiting = suitable.isEmpty() &&
+            nowMs + MIN_WAIT_MS < ticket.startByMs &&
+            usable.any { selector.canEndInTime(it, ticket, nowMs) }
+        if (isWorthWaiting) return Placement.Unsuitable
+        val fitting = suitable.ifEmpty { candidates }
+        val untried = fitting.filter { it.spec.id !in ticket.avoid }.ifEmpty { fitting }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
-        return sampleOf(unsuspected).minByOrNull { score(it, ticket, nowMs) }
+        return Placement.Found(selector.select(unsuspected, counts, ticket, nowMs))
     }
 
     /**
@@ -320,15 +382,17 @@
         service: String,
         rank: Int,
         candidates: List<TargetLoad>,
+        counts: ExpectedCounts,
         nowMs: Long
     ): Boolean {
-        val peers = peerDemands[service] ?: return false
-        val slots = candidates.sumOf { it.spec.slots }
+        val peers = fleet.demands[service] ?: return false
+        val runsPerUpdate = fleet.runsPerUpdate(overloadPolicies.of(service).typicalRunMs)
+        val slots = candidates.sumOf { counts.capacityOf(it) } * runsPerUpdate
         val share = SlotShares(slots, ownDemand(service, nowMs), peers).upTo(rank)
         val used = running.values.count {
             it.ticket.service == service && it.rank <= rank && it.permit == null
         }
-        return used + 1 > share + SHARE_MARGIN_SLOTS + shareRounding
+        return used + 1 > share + SHARE_MARGIN_SLOTS + fleet.shareRounding
     }
 
     private fun ownDemand(service: String, nowMs: Long): Map<Int, Int> {
@@ -339,36 +403,11 @@
         return demand
     }
 
-    /** A random sample if there are many hosts, which would else all choose the same target. */
-    private fun sampleOf(candidates: List<TargetLoad>): List<TargetLoad> =
-        if (hostCount <= MAX_SMALL_FLEET_HOSTS || candidates.size <= SAMPLE_SIZE) {
-            candidates
-        } else {
-            candidates.shuffled(random).take(SAMPLE_SIZE)
-        }
-
-    /**
-     * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
-     * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
-     */
-    private fun score(load: TargetLoad, ticket: FleetTicket, nowMs: Long): Double {
-        val otherZoneMs = if (load.spec.availabilityZone == zone) 0.0 else OTHER_ZONE_MS
-        val occupancy = load.count.toDouble() / load.spec.slots
-        if (!load.spec.isEngine) {
-            val withThisOne = (load.count + 1.0) / load.spec.slots
-            return withThisOne * load.slowdownAt(nowMs) + random.nextDouble() * TIE_BREAK_JITTER
-        }
-        val outputMs = ticket.expectedEvents * engine.msPerEvent * load.slowdown.current
-        val predictedMs = engine.firstEventMs(load, ticket.promptTokens, nowMs) +
-            outputMs * OUTPUT_WEIGHT * (1 + occupancy) + otherZoneMs
-        return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
-    }
-
     private fun start(ranked: WaitingQueue.RankedEntry, targetId: String, nowMs: Long) {
         val ticket = ranked.entry.ticket
         val load = targets.getValue(targetId)
         load.start(ticket.promptTokens)
-        overloadPolicyOf(ticket).onSend(nowMs)
+        overloadPolicies.of(ticket.service).onSend(nowMs)
         val permit = limits.takePermit(load.spec.ref, nowMs)
         running[ticket.sequence] = Run(ticket, ranked.rank, load, permit, nowMs, load.promptTokens)
     }
@@ -424,25 +463,20 @@
     }
 
     private companion object {
-        /** Up to this many hosts, known loads are recent enough to choose the best target. */
-        const val MAX_SMALL_FLEET_HOSTS = 16
-        const val SAMPLE_SIZE = 4
+        /** Bounds the work of one decision on tickets that no free target suits. */
+        const val MAX_UNSUITABLE = 8
+
+        /** With less time, a ticket takes the free target that suits it best. */
+        const val MIN_WAIT_MS = 100L
 
         /** Lets a host that holds its share use a slot that no host with a smaller one takes. */
         const val SHARE_MARGIN_SLOTS = 0.5
-        const val OTHER_ZONE_MS = 2.0
-        const val TIE_BREAK_JITTER = 0.1
-        const val OUTPUT_WEIGHT = 0.2
     }
 }
 
 /** At most half of the targets of a service may be ejected at once. */
 private const val MAX_EJECTED_DIVISOR = 2
 
-/** The targets of [service] that do not leave. */
-private fun Collection<TargetLoad>.inService(service: String): List<TargetLoad> =
-    filter { it.spec.service == service && !it.spec.isLeaving }
-
 /** The time until the first of these targets wants requests; 0 if one does now. */
 private fun List<TargetLoad>.restMs(nowMs: Long): Long {
     val firstMs = minOfOrNull { it.restingUntilMs } ?: nowMs
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -7,7 +7,7 @@
 public data class FleetTicket(
     val sequence: Long,
     val service: String,
-    /** 0 is the most urgent. */
+    /** The [RequestRank] of the request, or any other order; 0 is the most urgent. */
     val priority: Int,
     val promptTokens: Int,
     /** The expected number of events of the response; 0 if it is not streamed. */
@@ -21,7 +21,11 @@
     /** The longest time after which a refused caller would still return, in milliseconds. */
     val maxRetryAfterMs: Long = 5_000,
     /** The parts of the prompt that other requests may share, in the prompt's order. */
-    val sharedParts: List<PromptPart> = emptyList()
+    val sharedParts: List<PromptPart> = emptyList(),
+    /** The client account, or `null` for a request without one. */
+    val account: String? = null,
+    /** The time by which the whole response must have arrived. */
+    val endByMs: Long = Long.MAX_VALUE
 )
 
 /** The decision on a ticket. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
@@ -13,22 +13,37 @@
 
     fun onSend(nowMs: Long) = sends.onOccurrence(nowMs)
 
+    /** The moving average of the time from sending a request to its end, in milliseconds. */
+    var typicalRunMs = ASSUMED_RUN_MS.toDouble()
+        private set
+    private var runCount = 0
+
+    /** Learns from a run that took [tookMs] milliseconds. */
+    fun onRunEnd(tookMs: Long) {
+        runCount++
+        val gain = maxOf(RUN_GAIN, 1.0 / runCount)
+        typicalRunMs += (maxOf(1, tookMs) - typicalRunMs) * gain
+    }
+
     /** The number of sends expected within [durationMs] milliseconds. */
     fun expectedSends(durationMs: Long, nowMs: Long): Int =
         ceil(sends.expectedCount(durationMs, nowMs)).toInt()
 
     /**
      * Whether [ticket] with [position] others ahead may get a target in time. One that is late,
-     * [isDeferred], also yields to all that arrive until then.
+     * [isDeferred], also yields to all that arrive until then. In a large fleet, this host has
+     * [ownSlots] slots on average; with few of them, not even a short queue is served in time.
      */
     fun mayStartInTime(
         ticket: FleetTicket,
         isDeferred: Boolean,
         position: Int,
+        ownSlots: Double?,
         nowMs: Long
     ): Boolean {
-        val alwaysAccepted = if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED
-        if (position < alwaysAccepted) return true
+        val mostAccepted = if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED
+        val accepted = (ownSlots ?: Double.MAX_VALUE) / SLOTS_PER_ACCEPTED
+        if (position < accepted.coerceIn(1.0, mostAccepted.toDouble())) return true
         val durationMs = ticket.startByMs - nowMs
         val expectedSends = sends.expectedCount(durationMs, nowMs)
         val overtaking = if (isDeferred) arrivals.expectedCount(durationMs, nowMs) else 0.0
@@ -41,13 +56,13 @@
      */
     fun retryAfterMs(ticket: FleetTicket, ahead: Int, slots: Double, nowMs: Long): Long {
         val usedSlots = if (slots == 0.0) 1.0 else slots.coerceAtLeast(MIN_SLOTS)
-        val backlogMs = (TYPICAL_RUN_MS * ahead / usedSlots).toLong()
+        val backlogMs = (typicalRunMs * ahead / usedSlots).toLong()
         return retryAdvice.onRefusal(backlogMs, ticket.maxRetryAfterMs, nowMs)
     }
 
     companion object {
         /** The slots that are in use by requests that arrive at a rate of [perSecond]. */
-        fun slotsAt(perSecond: Double): Double = perSecond * TYPICAL_RUN_MS / MS_PER_S
+        fun slotsAt(perSecond: Double): Double = perSecond * ASSUMED_RUN_MS / MS_PER_S
 
         /** Tickets with fewer others ahead are not refused, whatever the rate of sends. */
         private const val ALWAYS_ACCEPTED = 6
@@ -55,7 +70,13 @@
 
         /** Refuses only clear cases, as the rate of one second is a rough estimate. */
         private const val SEND_RATE_MARGIN = 1.3
-        private const val TYPICAL_RUN_MS = 1_500L
+
+        /** The duration of a run of which nothing is known yet, in milliseconds. */
+        private const val ASSUMED_RUN_MS = 1_500L
+        private const val RUN_GAIN = 0.05
+
+        /** A request that waits while so many slots of its host are in use starts within a run. */
+        private const val SLOTS_PER_ACCEPTED = 3
 
         /** Bounds the estimate for targets that take very few requests. */
         private const val MIN_SLOTS = 0.1
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -40,6 +40,9 @@
     /** The [threshold] of the last request if it was refused. The lease may grow up to it. */
     private var wanted = 0.0
 
+    /** When the account last asked for more than was left, reserved units included. */
+    private var exhaustedAtMs = Long.MIN_VALUE / 2
+
     /** The mean units of the latest requests, granted or refused. */
     private var usualUnits = 0.0
     private var requestCount = 0
@@ -68,14 +71,27 @@
 
     /**
      * The time until a request of [units] may be granted, in milliseconds, or 0 if it may be now.
-     * The others have likely granted [unreported] units that are not deducted yet.
+     * The others have likely granted [unreported] units that are not deducted yet. The share
+     * [reserved] of the burst is left to more urgent requests while the account asks for more than
+     * its quota; an account that does not has no reason to keep anything back.
      */
-    fun waitMs(units: Long, unreported: Double, knowledge: PeerKnowledge): Long {
+    fun waitMs(
+        units: Long,
+        unreported: Double,
+        knowledge: PeerKnowledge,
+        reserved: Double,
+        nowMs: Long
+    ): Long {
         // Nothing is known of the account at its first request but that request.
         val isFirst = requestCount == 0
         val needed = if (isFirst) minOf(units.toDouble(), burst * FIRST_SHARE) else threshold
         val missing = when (knowledge) {
-            is PeerKnowledge.Current -> needed - (spendable - unreported)
+            is PeerKnowledge.Current -> {
+                val missing = needed - (spendable - unreported)
+                if (missing > 0) exhaustedAtMs = nowMs
+                val isExhausted = nowMs - exhaustedAtMs < EXHAUSTED_MS
+                if (isExhausted) missing + burst * reserved else missing
+            }
 
             is PeerKnowledge.Unknown -> {
                 // A share is less than most requests; one of them may overdraw it while the
@@ -148,6 +164,9 @@
         /** The most of the burst that a first request needs, as its account is mostly sound. */
         const val FIRST_SHARE = 0.1
 
+        /** How long units are reserved for urgent requests after some were refused. */
+        const val EXHAUSTED_MS = 2_000L
+
         /** Requests that the mean goes back; with so many, an outlier moves it by little. */
         const val MEAN_REQUESTS = 50
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiter.kt
@@ -13,7 +13,7 @@
  * rate of recent grants times the propagation delay is therefore withheld from the allowed slack.
  * Single-threaded.
  */
-public class QuotaLimiter {
+public class QuotaLimiter(private val shares: AccountShares = AccountShares()) {
     private val recentGrants = HashMap<String, SlidingWindowCounter>()
     private val recentPeerGrants = HashMap<String, SlidingWindowCounter>()
     private val buckets = HashMap<String, QuotaBucket>()
@@ -104,7 +104,8 @@
      *
      * The quota is [quotaPerSecond] units per second with bursts of [burst] units; a rate of 0
      * means no limit. All hosts together may grant up to [slack] units more in each window of
-     * `SlidingWindowCounter.WINDOW_S` seconds.
+     * `SlidingWindowCounter.WINDOW_S` seconds. While the account asks for more than its quota, the
+     * share [reserved] of the burst is kept for its more urgent requests.
      */
     public fun tryConsume(
         account: String,
@@ -112,9 +113,13 @@
         burst: Double,
         units: Long,
         nowMs: Long,
-        slack: Double = 0.0
+        slack: Double = 0.0,
+        reserved: Double = 0.0
     ): Long? {
-        if (quotaPerSecond <= 0) return null
+        if (quotaPerSecond <= 0) {
+            onGranted(account, units, nowMs)
+            return null
+        }
         val granted = recentGrants.getOrPut(account) { SlidingWindowCounter() }
         val unreported = granted.peakRate(nowMs) * propagationDelayMs / MS_PER_S
         val slackPerSecond = (slack - unreported).coerceAtLeast(0.0) / SlidingWindowCounter.WINDOW_S
@@ -130,17 +135,25 @@
         bucket.refill(nowMs, knowledge)
         val unreportedUnits = unreportedByPeers(account, bucket, nowMs)
         val untilTotalsMs = if (mayBeSpentByOthers(bucket, nowMs)) totalsLateAfterMs else 0
-        val waitMs = maxOf(bucket.waitMs(units, unreportedUnits, knowledge), untilTotalsMs)
+        val waitMs = maxOf(
+            bucket.waitMs(units, unreportedUnits, knowledge, reserved, nowMs),
+            untilTotalsMs
+        )
         if (waitMs > 0) {
             bucket.refuse(units)
             return waitMs
         }
         bucket.consume(units)
         granted.add(units, nowMs)
-        ownTotals.merge(account, units, Long::plus)
+        onGranted(account, units, nowMs)
         return null
     }
 
+    private fun onGranted(account: String, units: Long, nowMs: Long) {
+        ownTotals.merge(account, units, Long::plus)
+        shares.add(account, units, nowMs)
+    }
+
     /**
      * Whether the others are likely to spend all that is left of [bucket] before this host hears of
      * it, as totals are late. The level of an account that floods hardly differs between hosts, and
@@ -153,9 +166,10 @@
 
     /** Refunds [units] to the quota of [account], for a request that no target ran. */
     public fun refund(account: String, units: Long) {
-        val bucket = buckets[account] ?: return
-        bucket.refund(units)
+        if (account !in ownTotals) return
+        buckets[account]?.refund(units)
         ownTotals.merge(account, -units, Long::plus)
+        shares.refund(account, units)
     }
 
     /** The units that this host has consumed in total, less refunds, by account. */
@@ -232,6 +246,7 @@
         peerGrants.onTotals(from, totals, nowMs, isPrimary, sourceAgeMs)
             .filterValues { it != 0L }
             .forEach { (account, units) ->
+                shares.add(account, units, nowMs)
                 recentGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
                 recentPeerGrants.getOrPut(account) { SlidingWindowCounter() }.add(units, nowMs)
                 buckets[account]?.consumeForPeers(units, nowMs, knowledge)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlotShares.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/SlotShares.kt
@@ -9,7 +9,7 @@
  * requests of a rank that does not fit share what is left, each host in proportion to its demand.
  */
 internal class SlotShares(
-    private val slots: Int,
+    private val slots: Double,
     /** The requests of this host that run or wait, by rank. */
     private val own: Map<Int, Int>,
     /** The same for all other hosts together. */
@@ -17,7 +17,7 @@
 ) {
     /** The number of slots that this host may use for requests of [rank] and lower ranks. */
     fun upTo(rank: Int): Double {
-        var left = slots.toDouble()
+        var left = slots
         var share = 0.0
         for (current in (own.keys + peers.keys).filter { it <= rank }.sorted()) {
             val ownDemand = own[current] ?: 0
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetLoad.kt
@@ -15,7 +15,11 @@
         private set
     var peerPromptTokens = 0L
         private set
-    private var countReportedAtMs = Long.MIN_VALUE
+    private var countReportedAtMs = Long.MIN_VALUE / 2
+
+    /** The time at which [peerCount] was counted, in milliseconds. */
+    var peerCountAtMs = Long.MIN_VALUE / 2
+        private set
 
     /** Whether the target failed on other hosts recently. */
     var isSuspectedByPeers = false
@@ -43,13 +47,16 @@
     fun updatePeerLoad(load: FleetScheduler.PeerLoad?, nowMs: Long, ageMs: Long) {
         peerPromptTokens = load?.promptTokens ?: 0
         val isReportNewer = countReportedAtMs > nowMs - ageMs
-        if (!isReportNewer) peerCount = load?.count ?: 0
+        if (isReportNewer) return
+        peerCount = load?.count ?: 0
+        peerCountAtMs = nowMs - ageMs
     }
 
     /** Records a report of the target: [inProgress] requests, and its [slowdown] if it has one. */
     fun onReported(inProgress: Int, slowdown: Double?, nowMs: Long) {
         peerCount = (inProgress - ownCount).coerceIn(0, spec.slots * MAX_PEERS_PER_SLOT)
         countReportedAtMs = nowMs
+        peerCountAtMs = nowMs
         slowdown?.let { momentarySlowdown.update(it, nowMs) }
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/WaitingQueue.kt
@@ -3,10 +3,11 @@
 /**
  * The requests that wait for a target, with the order in which they are sent.
  *
- * Requests are ordered by priority. Among equal ones, those that can still be on time precede late
- * ones. While no request of a service is late, the oldest goes first. Once some are late, the
- * targets of the service are overloaded and the newest on-time request goes first: in order of
- * arrival each would start at the last moment, and most would be late.
+ * Requests are ordered by priority, then by what their accounts got recently ([AccountShares]).
+ * Among equal ones, those that can still be on time precede late ones. While no request of a
+ * service is late, the oldest goes first. Once some are late, the targets of the service are
+ * overloaded and the newest on-time request goes first: in order of arrival each would start at
+ * the last moment, and most would be late.
  *
  * A late request yields to all that can be on time until shortly before its latest start. Then its
  * priority counts again, so that it is not shed in favor of less urgent ones.
@@ -20,8 +21,13 @@
 
     val size: Int get() = entries.size
 
-    fun add(ticket: FleetTicket, nowMs: Long, onDecision: (FleetDecision) -> Unit) {
-        entries[ticket.sequence] = Entry(ticket, nowMs, onDecision)
+    fun add(
+        ticket: FleetTicket,
+        nowMs: Long,
+        band: ShareBand = ShareBand.WITHIN,
+        onDecision: (FleetDecision) -> Unit
+    ) {
+        entries[ticket.sequence] = Entry(ticket, rankOf(ticket.priority, band), nowMs, onDecision)
     }
 
     fun remove(sequence: Long) {
@@ -59,26 +65,32 @@
         val halfMs = (ticket.dueAtMs - entry.addedAtMs).coerceAtLeast(0) / 2
         val isLate = nowMs + minOf(usualMs(ticket.service), halfMs) > ticket.dueAtMs
         val isDeferred = isLate && ticket.startByMs - nowMs > PRIORITY_RESTORE_MS
-        val rank = if (isDeferred) DEFERRED_RANK + ticket.priority else ticket.priority
+        val rank = if (isDeferred) DEFERRED_RANK + entry.rank else entry.rank
         return RankedEntry(entry, rank, isLate)
     }
 
     /** A waiting request and the receiver of its decision. */
     class Entry(
         val ticket: FleetTicket,
+        /** See [rankOf]. */
+        val rank: Int,
         val addedAtMs: Long,
         val onDecision: (FleetDecision) -> Unit
     )
 
     /**
-     * A waiting request with its rank: its priority, or a greater number if it is late and yields
-     * to all that can be on time.
+     * A waiting request with its rank: that of [rankOf], or a greater number if it is late and
+     * yields to all that can be on time.
      */
     class RankedEntry(val entry: Entry, val rank: Int, val isLate: Boolean)
 
     companion object {
-        /** The lowest rank of late requests; greater than any priority. */
-        const val DEFERRED_RANK = 1_000
+        /** The lowest rank of late requests; greater than any other. */
+        const val DEFERRED_RANK = 10_000
+
+        /** The rank of requests of [priority] whose account got as much as [band] tells. */
+        fun rankOf(priority: Int, band: ShareBand = ShareBand.WITHIN): Int =
+            priority * ShareBand.entries.size + band.ordinal
 
         /** How long before its latest start a late request regains its priority. */
         private const val PRIORITY_RESTORE_MS = 400L
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -126,7 +126,8 @@
         scheduler.hostCount = 64
         scheduler.updateTargets((1..40).map { target("t$it", slots = 10) })
         scheduler.updatePeerLoads((1..40).associate { "t$it" to FleetScheduler.PeerLoad(9, 0) })
-        scheduler.updatePeerDemands(mapOf("model" to mapOf(1 to 63 * 25)))
+        val demand = mapOf(WaitingQueue.rankOf(1) to 63 * 25)
+        scheduler.updatePeerDemands(mapOf("model" to demand))
         (1L..30L).forEach { enroll(it) }
         assertThat(sent).hasSizeBetween(7, 9)
     }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/SlotSharesTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/SlotSharesTest.kt
@@ -12,19 +12,19 @@
 class SlotSharesTest {
     @Example
     fun slotsGoToTheMostUrgentRequestsOfAllHosts() {
-        val shares = SlotShares(slots = 10, own = mapOf(2 to 20), peers = mapOf(0 to 8, 2 to 20))
+        val shares = SlotShares(slots = 10.0, own = mapOf(2 to 20), peers = mapOf(0 to 8, 2 to 20))
         assertThat(shares.upTo(2)).isEqualTo(1.0, Offset.offset(1e-9))
     }
 
     @Example
     fun hostWithMoreCallersHasMoreSlots() {
-        val shares = SlotShares(slots = 10, own = mapOf(0 to 30), peers = mapOf(0 to 10))
+        val shares = SlotShares(slots = 10.0, own = mapOf(0 to 30), peers = mapOf(0 to 10))
         assertThat(shares.upTo(0)).isEqualTo(7.5, Offset.offset(1e-9))
     }
 
     @Example
     fun demandWithinTheSlotsIsNotLimited() {
-        val shares = SlotShares(slots = 10, own = mapOf(0 to 3, 1 to 2), peers = mapOf(0 to 5))
+        val shares = SlotShares(slots = 10.0, own = mapOf(0 to 3, 1 to 2), peers = mapOf(0 to 5))
         assertThat(shares.upTo(1)).isEqualTo(5.0, Offset.offset(1e-9))
     }
 
@@ -41,7 +41,7 @@
             val peers = (0..3).associateWith { rank ->
                 demands.sumOf { it.getValue(rank) } - own.getValue(rank)
             }
-            SlotShares(slots, own, peers).upTo(3)
+            SlotShares(slots.toDouble(), own, peers).upTo(3)
         }
         val total = demands.sumOf { it.values.sum() }
         assertThat(sum).isEqualTo(minOf(slots, total).toDouble(), Offset.offset(1e-6))
