Reject response statuses outside 100 to 599

Change: a status outside 100 to 599 is a MalformedMessageException, whatever the parser accepts. The send counts as failed, is logged as "send failed ... invalid status 600" and retried if that is safe.

Before the fix: InvalidStatusTest.statusAbove599IsNoResponse: Expecting code to raise a throwable. MalformedResponseTest.callerGetsAnAnswerWhateverTheTargetSends: [HTTP/1.1 600 OK...] Expecting actual: 600 to be in: [502, 504]

--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -78,6 +78,9 @@
             val parsed = parseResponse(input) ?: throw EOFException("closed before a response")
             val response = parsed.use {
                 socket.requireCompleteHead()
+                if (parsed.status !in validStatuses) {
+                    throw MalformedMessageException("invalid status ${parsed.status}")
+                }
                 val headers = HeaderList.of(parsed.headers)
                 val hasBody = parsed.status !in statusesWithoutBody && parsed.status >= FINAL_STATUS
                 val framing = if (hasBody) {
@@ -99,5 +102,8 @@
     private companion object {
         const val FINAL_STATUS = 200
         val statusesWithoutBody = setOf(204, 304)
+
+        /** The statuses that RFC 9110 defines, section 15; the parser also accepts 600 to 999. */
+        val validStatuses = 100..599
     }
 }
