Treat a response that a reset ends or follows as truncated

Cause: the end of a response without a length was taken for orderly unless the input had a closedCause. A reset leaves none in two cases: a write that reports it consumes the socket's error, and after the end of the input no read reports it. Nor was it checked that the request had been written.

Change: at the end of such a body HttpConnection checks that the request is written, that neither side of the socket has failed, and that no error is pending, which a selector reports for OP_CONNECT. TargetClient repeats the check after its connection attempt (one round trip), so that a reset that answers late bytes of the request is seen. A body that breaks off throws TruncatedMessageException, which is an EOFException as before.

Result: the send fails and is retried if that is safe.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -132,7 +132,7 @@
     private val processEnd = ProcessEnd()
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler),
-        TargetClient(pool, clock, departures, responseMemory),
+        TargetClient(pool, clock, departures, responseMemory, metrics),
         clock,
         retryBudget,
         { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -104,7 +104,7 @@
     ): CallerSession.Dependencies {
         val forwarder = RequestForwarder(
             SchedulerAdapter(control, clock, scheduler),
-            TargetClient(pool, clock, Departures(log) {}),
+            TargetClient(pool, clock, Departures(log) {}, metrics = metrics),
             clock,
             WindowedRetryBudget(1.0, 1.0, LIMIT_MS) { 1 },
             { TargetEntry(it, it, address, ZONE, SLOTS, isLeaving = false, startedAtMs = 0) },
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -5,13 +5,16 @@
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.memory.ResponseMemory
 import org.bronzetide.edge.state.Departures
+import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnectionException
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Framing
 import org.bronzetide.http.Header
 import org.bronzetide.http.HttpConnection
 import org.bronzetide.http.IncomingResponse
+import org.bronzetide.http.MalformedMessageException
 import org.bronzetide.http.OutgoingRequest
+import org.bronzetide.http.TruncatedMessageException
 import org.bronzetide.platform.fleet.PlatformHeaders
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
@@ -23,7 +26,8 @@
  * a silent one takes over when it has begun to respond.
  *
  * The end of a response that has neither a length nor chunks is the end of its connection, which a
- * crash of the target ends as well. Such a response is whole only if the target still listens.
+ * crash of the target ends as well. Such a response is whole only if the target still listens and
+ * has not reset the connection.
  *
  * Which response belongs to a send is decided by [ResponseRule]; others are skipped. A connection
  * is reused only after a response was read to its end, and never for the same request again. An
@@ -34,7 +38,8 @@
     private val clock: MonotonicClock,
     private val departures: Departures,
     /** The memory of the responses in progress. */
-    val memory: ResponseMemory = ResponseMemory.ofHeap()
+    val memory: ResponseMemory = ResponseMemory.ofHeap(),
+    private val metrics: EdgeMetrics = EdgeMetrics()
 ) {
     /**
      * The result of one send, with the outcome and the average milliseconds between events for the
@@ -139,8 +144,10 @@
         var isReleased = false
         try {
             val attempt = read(call, response, relay, stallPolicy, bodies)
-            if (response.framing == Framing.UntilClose && hasCrashed(target)) {
-                throw IOException("target ended with its response")
+            if (response.framing == Framing.UntilClose) {
+                if (hasCrashed(target)) throw IOException("target ended with its response")
+                // A reset that answers bytes of the request has arrived within that round trip.
+                beginning.connection.requireOrderlyEnd()
             }
             isReleased = tryRelease(call, target, beginning.connection, response)
             return attempt
@@ -170,6 +177,10 @@
         if (cause is TargetStalledException && cause.failure == null) {
             return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
         }
+        when (cause) {
+            is MalformedMessageException -> metrics.onInvalidResponse("malformed")
+            is TruncatedMessageException -> metrics.onInvalidResponse("truncated")
+        }
         pool.evict(target.address.host, target.address.port)
         return Attempt(
             SendResult.MayHaveRun("broke off: ${cause.message}"),
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -43,6 +43,10 @@
     fun onForeignResponse() =
         Counter.builder("bronzetide.edge.foreign.responses").register(registry).increment()
 
+    /** Counts a response of a target that is not valid or not complete, as [fault] tells. */
+    fun onInvalidResponse(fault: String) = Counter.builder("bronzetide.edge.invalid.responses")
+        .tag("fault", fault).register(registry).increment()
+
     /** Counts a failed call to the store. */
     fun onStoreFailure() =
         Counter.builder("bronzetide.edge.store.failures").register(registry).increment()
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -23,7 +23,12 @@
     public val body: MessageBody
 )
 
-/** The client side of a connection, which carries one request at a time. */
+/**
+ * The client side of a connection, which carries one request at a time.
+ *
+ * The body of a response without a length ends with the connection. It is complete only if the
+ * server has ended the connection in an orderly way and the request was fully written by then.
+ */
 public class HttpConnection internal constructor(private val socket: TcpSocket, nowMs: Long) :
     AutoCloseable {
     private val input = socket.input
@@ -38,6 +43,9 @@
     /** The requests sent on this connection so far. */
     internal val carriedRequests = CarriedRequests()
 
+    /** Whether the latest request has been written to the socket in full. */
+    private var isRequestWritten = true
+
     /** Whether the connection has carried a request before. */
     public var isReused: Boolean = false
         internal set
@@ -51,6 +59,7 @@
      * @throws java.io.IOException if the connection breaks.
      */
     public suspend fun send(request: OutgoingRequest) {
+        isRequestWritten = false
         val builder = RequestResponseBuilder()
         builder.requestLine(HttpMethod(request.method), request.requestTarget, "HTTP/1.1")
         request.headers.forEach { builder.headerLine(it.name, it.value) }
@@ -61,6 +70,24 @@
         output.writePacket(builder.build())
         output.writeInParts(request.body)
         output.flush()
+        isRequestWritten = true
+    }
+
+    /**
+     * Checks that a body that has ended with the connection is complete. Its caller may repeat this
+     * later: bytes of the request that were under way when the server closed are answered by a
+     * reset, which takes a round trip.
+     *
+     * @throws TruncatedMessageException if the request is not fully written, or if the connection
+     * was reset, also after the end of the input.
+     */
+    public fun requireOrderlyEnd() {
+        if (!isRequestWritten) {
+            throw TruncatedMessageException("response ended before the request was written")
+        }
+        if (socket.hasFailed) {
+            throw TruncatedMessageException("connection reset at the end of the body")
+        }
     }
 
     /**
@@ -88,7 +115,8 @@
                 } else {
                     Framing.Length(0)
                 }
-                IncomingResponse(parsed.status, headers, framing, MessageBody(input, framing))
+                val body = MessageBody(input, framing, onClose = ::requireOrderlyEnd)
+                IncomingResponse(parsed.status, headers, framing, body)
             }
             if (response.status >= FINAL_STATUS) return response
         }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/MessageBody.kt
@@ -50,6 +50,14 @@
 /** A message does not conform to HTTP/1.1. */
 public class MalformedMessageException(message: String) : IOException(message)
 
+/** The connection ended before the message did. */
+public class TruncatedMessageException(message: String, cause: Throwable? = null) :
+    EOFException(message) {
+    init {
+        cause?.let(::initCause)
+    }
+}
+
 /**
  * Runs [block], which parses the head of a message of the kind [what].
  *
@@ -66,12 +74,13 @@
 
 /**
  * Reads the body of one message from [input], part by part. Failures of the connection are thrown
- * as [failure] maps them.
+ * as [failure] maps them. A body that ends with the connection is complete unless [onClose] throws.
  */
 public class MessageBody(
     private val input: ByteReadChannel,
     private val framing: Framing,
-    private val failure: (IOException) -> IOException = { it }
+    private val failure: (IOException) -> IOException = { it },
+    private val onClose: () -> Unit = {}
 ) {
     private var remaining = (framing as? Framing.Length)?.bytes ?: 0L
     private var isInChunk = false
@@ -87,7 +96,8 @@
     /**
      * Suspends until more of the body is available and returns it, or `null` at the end.
      *
-     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     * @throws TruncatedMessageException if the connection ends before the body does.
+     * @throws MalformedMessageException if a chunk is malformed.
      */
     public suspend fun readAvailable(): ByteArray? {
         if (isComplete) return null
@@ -98,15 +108,22 @@
                 is Framing.UntilClose -> readToClose()
             }
         } catch (cause: IOException) {
-            throw failure(cause)
+            throw failure(if (cause.isOfMessage) cause else truncated(cause))
         }
     }
 
+    private val IOException.isOfMessage: Boolean
+        get() = this is MalformedMessageException || this is TruncatedMessageException
+
+    private fun truncated(cause: IOException) =
+        TruncatedMessageException("connection broke within the body: ${cause.message}", cause)
+
     /**
      * Reads the whole body, or the rest of it after [first].
      *
      * @throws BodyTooLargeException if it has more than [maxBytes] bytes.
-     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     * @throws TruncatedMessageException if the connection ends before the body does.
+     * @throws MalformedMessageException if a chunk is malformed.
      */
     public suspend fun readAll(maxBytes: Int, first: ByteArray = ByteArray(0)): ByteArray {
         val knownBytes = lengthBytes
@@ -124,7 +141,8 @@
     /**
      * Reads until [minBytes] bytes or the end have been reached, and returns what was read.
      *
-     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     * @throws TruncatedMessageException if the connection ends before the body does.
+     * @throws MalformedMessageException if a chunk is malformed.
      */
     public suspend fun readUpTo(minBytes: Int): ByteArray {
         val body = ByteArrayOutputStream()
@@ -136,7 +154,8 @@
      * Reads the rest of the body and forgets it, up to [maxBytes] bytes. Returns whether its end
      * was reached.
      *
-     * @throws IOException if the connection ends before the body does or a chunk is malformed.
+     * @throws TruncatedMessageException if the connection ends before the body does.
+     * @throws MalformedMessageException if a chunk is malformed.
      */
     public suspend fun skip(maxBytes: Int): Boolean {
         var skippedBytes = 0L
@@ -158,7 +177,7 @@
 
     private suspend fun readCounted(): ByteArray? {
         val count = input.readAvailable(buffer, 0, minOf(remaining, BUFFER_BYTES.toLong()).toInt())
-        if (count < 0) throw EOFException("connection closed within the body")
+        if (count < 0) throw TruncatedMessageException("connection closed within the body")
         remaining -= count
         return buffer.copyOf(count)
     }
@@ -187,7 +206,7 @@
     }
 
     private suspend fun readLine(): String = input.readLineStrict(MAX_CHUNK_LINE_LENGTH)
-        ?: throw EOFException("connection closed within the body")
+        ?: throw TruncatedMessageException("connection closed within the body")
 
     private fun chunkSize(line: String): Long {
         val digits = line.substringBefore(';').trim()
@@ -200,8 +219,11 @@
     private suspend fun readToClose(): ByteArray? {
         val count = input.readAvailable(buffer, 0, BUFFER_BYTES)
         if (count >= 0) return buffer.copyOf(count)
-        // The channel reports a reset like an orderly end; only the cause tells them apart.
-        input.closedCause?.let { throw IOException("connection reset within the body", it) }
+        // The channel reports a reset like an orderly end.
+        input.closedCause?.let {
+            throw TruncatedMessageException("connection reset within the body", it)
+        }
+        onClose()
         isComplete = true
         return null
     }
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpSocket.kt
@@ -9,6 +9,9 @@
 import java.net.StandardSocketOptions
 import java.net.UnknownHostException
 import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SelectionKey
+import java.nio.channels.Selector
 import java.nio.channels.SocketChannel
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.yield
@@ -80,6 +83,31 @@
             false
         }
 
+    /**
+     * Whether the connection has failed, for example by a reset, be it noticed by a read, by a
+     * write or by neither.
+     *
+     * A reset that follows the end of the input is reported by no read, and one that a write has
+     * reported isn't reported again: the reads after it return the end of the input.
+     */
+    internal val hasFailed: Boolean
+        get() = reader.closedCause != null || output.closedCause != null || hasPendingError
+
+    /** Whether the selector finds an error pending, for which `OP_CONNECT` is documented. */
+    private val hasPendingError: Boolean
+        get() {
+            if (!channel.isOpen) return false
+            return Selector.open().use { selector ->
+                try {
+                    channel.register(selector, SelectionKey.OP_CONNECT)
+                    selector.selectNow() > 0
+                } catch (_: ClosedChannelException) {
+                    // Another thread has just closed the connection.
+                    true
+                }
+            }
+        }
+
     /** The address and port of the peer, or `null` if the connection is closed. */
     internal val remoteAddress: String?
         get() = try {
