--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
@@ -74,7 +74,9 @@
 
             is StoreResult.Unavailable -> onFailure(result.detail)
 
-            StoreResult.Compacted, StoreResult.Conflict -> onFailure("unexpected status")
+            StoreResult.Compacted, is StoreResult.Conflict -> onFailure("unexpected status")
+
+            is StoreResult.EraChanged -> onFailure("response of an earlier era")
         }
     }
 
@@ -100,7 +102,9 @@
                     if (++failures >= FAILURES_TO_RELIST) return
                 }
 
-                StoreResult.Compacted, StoreResult.Conflict -> {
+                is StoreResult.EraChanged -> return
+
+                StoreResult.Compacted, is StoreResult.Conflict -> {
                     log.stateChange("history compacted", "kind" to kind, "revision" to revision)
                     return
                 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -47,6 +47,14 @@
     fun onStoreFailure() =
         Counter.builder("bronzetide.edge.store.failures").register(registry).increment()
 
+    /** Counts a restoration of the store from a snapshot. */
+    fun onStoreEraChange() =
+        Counter.builder("bronzetide.edge.store.era.changes").register(registry).increment()
+
+    /** Counts a lease that was acquired, or that ended for the reason [change]. */
+    fun onLeaseChange(change: String) = Counter.builder("bronzetide.edge.lease.changes")
+        .tag("change", change).register(registry).increment()
+
     /** Registers a gauge [name] that reads [value] at each scrape. */
     fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
