--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -1,25 +1,47 @@
 package org.bronzetide.edge.standin
 
+import java.net.URLDecoder
 import java.util.TreeMap
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonUnquotedLiteral
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 import org.bronzetide.http.CallerConnection
+import org.bronzetide.http.Header
 import org.bronzetide.http.IncomingRequest
 
-/** A stand-in for the platform's store with lists, watches, outages and compaction. */
+/**
+ * A stand-in for the platform's store with lists, watches, conditional writes, outages, compaction
+ * and restorations from a snapshot.
+ */
 class StoreStandIn : AutoCloseable {
-    private class Entry(val revision: Long, val body: JsonElement?)
+    private class Entry(
+        val revision: Long,
+        val body: JsonElement?,
+        val status: JsonElement? = null
+    )
+
+    /** A response of the store, with the era in which the call was executed. */
+    class Reply(val status: Int, val body: String, val era: Long?)
 
     private val kinds = HashMap<String, TreeMap<String, Entry>>()
     private var revision = 10L
     private var oldestRevision = 0L
+    private var snapshotKinds: Map<String, TreeMap<String, Entry>> = emptyMap()
+    private var snapshotRevision = revision
+
+    /** The era that the responses state, if any. */
+    @Volatile
+    var era: Long? = null
 
     /** Whether calls get a response with status 503. */
     @Volatile
@@ -44,7 +66,16 @@
     @Volatile
     var manifestCallCount = 0
 
-    private val server = StandInServer { request, _, connection -> respond(request, connection) }
+    /**
+     * Called for each call but watches, with a function that executes it. Returns the response to
+     * send; without one the connection is closed.
+     */
+    @Volatile
+    var intercept: suspend (IncomingRequest, () -> Reply) -> Reply? = { _, execute -> execute() }
+
+    private val server = StandInServer { request, body, connection ->
+        respond(request, body, connection)
+    }
     val port: Int get() = server.port
 
     /** Writes an object as its owner does. [body] is sent as it is written. */
@@ -54,6 +85,26 @@
             Entry(++revision, JsonUnquotedLiteral(body))
     }
 
+    /** Keeps the present state for [restore]. */
+    @Synchronized
+    fun takeSnapshot() {
+        snapshotKinds = kinds.mapValues { TreeMap(it.value) }
+        snapshotRevision = revision
+    }
+
+    /** Goes back to the snapshot and begins the next era. Revisions after it are issued again. */
+    @Synchronized
+    fun restore() {
+        kinds.clear()
+        snapshotKinds.forEach { (kind, entries) -> kinds[kind] = TreeMap(entries) }
+        revision = snapshotRevision
+        era = era?.plus(1)
+    }
+
+    /** The present spec of an object as JSON, or `null` if there is none. */
+    @Synchronized
+    fun spec(kind: String, name: String): String? = kinds[kind]?.get(name)?.body?.toString()
+
     /** Writes what [edit] makes of an object's body. */
     @Synchronized
     fun edit(kind: String, name: String, edit: (String) -> String) =
@@ -73,7 +124,11 @@
 
     override fun close() = server.close()
 
-    private suspend fun respond(request: IncomingRequest, connection: CallerConnection): Boolean {
+    private suspend fun respond(
+        request: IncomingRequest,
+        body: ByteArray,
+        connection: CallerConnection
+    ): Boolean {
         callCount++
         if (isUnavailable) return send(connection, 503, "")
         val kind = request.path.removePrefix("/objects/").substringBefore('/')
@@ -82,12 +137,15 @@
         val query = request.requestTarget.substringAfter('?', "").split('&')
             .associate { it.substringBefore('=') to it.substringAfter('=') }
         val watch = query["watch"]?.toLong()
-            ?: return send(connection, 200, listing(kind, query["since_rev"].orEmpty()))
+        if (watch == null) {
+            val reply = intercept(request) { execute(request, kind, query, body) } ?: return false
+            return send(connection, reply)
+        }
         val endsAt = System.nanoTime() + query.getValue("wait_ms").toLong() * 1_000_000
         while (true) {
             if (isUnavailable) return send(connection, 503, "")
             if (isUnresponsive) awaitCancellation()
-            if (watch < oldestRevision) return send(connection, 410, "")
+            if (isUnknown(watch)) return send(connection, 410, "")
             val events = events(kind, watch)
             if (events != null || System.nanoTime() > endsAt) {
                 return send(connection, 200, events ?: noEvents())
@@ -96,11 +154,74 @@
         }
     }
 
-    private suspend fun send(connection: CallerConnection, status: Int, body: String): Boolean {
-        connection.send(status, emptyList(), body.encodeToByteArray())
+    private suspend fun send(connection: CallerConnection, status: Int, body: String): Boolean =
+        send(connection, Reply(status, body, era))
+
+    private suspend fun send(connection: CallerConnection, reply: Reply): Boolean {
+        val headers = reply.era?.let { listOf(Header("Store-Era", it.toString())) }.orEmpty()
+        connection.send(reply.status, headers, reply.body.encodeToByteArray())
         return true
     }
 
+    @Synchronized
+    private fun isUnknown(watch: Long) = watch < oldestRevision || watch > revision
+
+    @Synchronized
+    private fun execute(
+        request: IncomingRequest,
+        kind: String,
+        query: Map<String, String>,
+        body: ByteArray
+    ): Reply {
+        val path = request.path.removePrefix("/objects/").split('/').drop(1)
+            .map { URLDecoder.decode(it, Charsets.UTF_8) }
+        val content = if (body.isEmpty()) null else Json.parseToJsonElement(body.decodeToString())
+        val metadata = content?.jsonObject?.get("metadata")?.jsonObject
+        val expected = query["revision"]?.toLong()
+            ?: metadata?.get("revision")?.jsonPrimitive?.longOrNull
+        return when {
+            request.method == "POST" -> {
+                val name = metadata!!.getValue("name").jsonPrimitive.content
+                val isFree = kinds[kind]?.get(name)?.body == null
+                change(kind, name, isFree) { Entry(++revision, content.jsonObject["spec"]) }
+            }
+
+            path.isEmpty() -> reply(200, listing(kind, query["since_rev"].orEmpty()))
+
+            kinds[kind]?.get(path[0])?.body == null -> reply(404, "")
+
+            request.method == "GET" -> change(kind, path[0], true) { it!! }
+
+            else -> {
+                val isCurrent = kinds.getValue(kind).getValue(path[0]).revision == expected
+                change(kind, path[0], isCurrent) {
+                    when {
+                        request.method == "DELETE" -> Entry(++revision, null)
+
+                        path.size == 2 ->
+                            Entry(++revision, it!!.body, content!!.jsonObject["status"])
+
+                        else -> Entry(++revision, content!!.jsonObject["spec"], it!!.status)
+                    }
+                }
+            }
+        }
+    }
+
+    /** Responds with the object, after [change] of it if [isAllowed], and with 409 otherwise. */
+    private fun change(
+        kind: String,
+        name: String,
+        isAllowed: Boolean,
+        change: (Entry?) -> Entry
+    ): Reply {
+        val entries = kinds.getOrPut(kind) { TreeMap() }
+        if (isAllowed) entries[name] = change(entries[name])
+        return reply(if (isAllowed) 200 else 409, stored(name, entries.getValue(name)).toString())
+    }
+
+    private fun reply(status: Int, body: String) = Reply(status, body, era)
+
     @Synchronized
     private fun listing(kind: String, afterName: String): String {
         val left = kinds[kind].orEmpty().filter { it.value.body != null && it.key > afterName }
@@ -143,5 +264,6 @@
             put("revision", entry.revision)
         }
         entry.body?.let { put("spec", it) }
+        entry.status?.let { put("status", it) }
     }
 }
