Watches and targets after a restoration of the store

A restored store issues revisions again, so that a watch from an earlier one may succeed and report nothing of what was lost. A watch now ends when any call sees another era, and the objects are listed again. Targets whose entries are missing then have the same time to return as after an outage; entries of starts that had been removed, marked as leaving or replaced are held back.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -47,6 +47,7 @@
 import org.bronzetide.platform.fleet.Manifest
 import org.bronzetide.platform.fleet.ObjectKinds
 import org.bronzetide.platform.fleet.SocketAddress
+import org.bronzetide.platform.fleet.StoreEra
 import org.bronzetide.platform.fleet.StoredObject
 import org.bronzetide.platform.fleet.StoredObjectCodec
 import org.bronzetide.platform.fleet.TargetEntry
@@ -207,6 +208,7 @@
             }
         }
         registerGauges()
+        store.onEraChange = ::onStoreEraChange
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
         scope.launch { bootstrapFromPeers() }
@@ -227,6 +229,11 @@
         )
     }
 
+    private fun onStoreEraChange(era: StoreEra) {
+        metrics.onStoreEraChange()
+        log.stateChange("store restored", "era" to era.number)
+    }
+
     private fun logLimitChange(target: TargetRef, perSecond: Double?) = log.stateChange(
         "target limit",
         "target" to target.id,
@@ -237,6 +244,7 @@
     private fun registerGauges() {
         metrics.gauge("bronzetide.edge.requests.inside") { inFlightRequests.count }
         metrics.gauge("bronzetide.edge.manifest.version") { manifest()?.version ?: 0 }
+        metrics.gauge("bronzetide.edge.store.era") { store.era?.number ?: 0 }
         metrics.gauge("bronzetide.edge.prompt.parts.blocked") {
             scheduler.poisonParts.blocked.size
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreWatcher.kt
@@ -16,7 +16,9 @@
 
 /**
  * Watches the objects of one kind: lists them, then watches for changes, and lists again whenever
- * the store has compacted its history or repeatedly did not respond.
+ * the store has compacted its history, repeatedly did not respond, or was restored from a snapshot.
+ * A restoration is noticed by the first response to any call of the process, which ends the watch
+ * that is waiting.
  *
  * The connections to the store must be probed, as a silent one ends a watch only after its wait.
  */
@@ -35,6 +37,9 @@
     private var lastFailureAtMs = 0L
     private var failuresInRow = 0
 
+    /** The latest listing that was passed on; `null` before the first one. */
+    private var listed: Listing? = null
+
     /** Receives the listings and changes. */
     interface Observer {
         suspend fun onListing(listing: Listing)
@@ -46,6 +51,12 @@
          * Called before the state that was read.
          */
         suspend fun onStoreAvailable(lastFailureAtMs: Long) = Unit
+
+        /**
+         * The store was restored from a snapshot since the last listing; the next call is
+         * [onListing] with its state, in which the latest writes may be missing.
+         */
+        suspend fun onStoreRestored() = Unit
     }
 
     suspend fun run() {
@@ -68,8 +79,21 @@
         when (val result = store.list(kind)) {
             is StoreResult.Done -> {
                 onSuccess()
+                val before = listed
+                if (before != null && before.era != result.value.era) {
+                    log.stateChange(
+                        "listed after a restoration",
+                        "kind" to kind,
+                        "era" to result.value.era?.number,
+                        "revision" to result.value.revision,
+                        "revisionBefore" to before.revision,
+                        "count" to result.value.objects.size
+                    )
+                    observer.onStoreRestored()
+                }
                 observer.onListing(result.value)
-                watchFrom(result.value.revision)
+                listed = result.value
+                watchFrom(result.value)
             }
 
             is StoreResult.Unavailable -> onFailure(result.detail)
@@ -80,14 +104,14 @@
         }
     }
 
-    private suspend fun watchFrom(start: Long) {
-        var revision = start
+    private suspend fun watchFrom(listing: Listing) {
+        var revision = listing.revision
         var failures = 0
         while (true) {
             // A watch that begins in an outage may hang for its full wait after the outage ends.
             val waitMs = if (failures == 0) watchMs else OUTAGE_WATCH_MS
             callStartedAtMs = clock.nowMs()
-            when (val result = store.watch(kind, revision, waitMs)) {
+            when (val result = store.watch(kind, revision, waitMs, listing.era)) {
                 is StoreResult.Done -> {
                     onSuccess()
                     failures = 0
@@ -102,7 +126,11 @@
                     if (++failures >= FAILURES_TO_RELIST) return
                 }
 
-                is StoreResult.EraChanged -> return
+                is StoreResult.EraChanged -> {
+                    // A late response of an earlier era; listing at once could repeat endlessly.
+                    if (store.era == listing.era) onFailure("response of an earlier era")
+                    return
+                }
 
                 StoreResult.Compacted, is StoreResult.Conflict -> {
                     log.stateChange("history compacted", "kind" to kind, "revision" to revision)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/TargetRegistry.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/TargetRegistry.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.platform.fleet.ObjectKinds
 import org.bronzetide.platform.fleet.StoredObject
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.scheduling.fleet.TargetRef
 
 /**
  * Keeps the targets on the blackboard.
@@ -20,6 +21,12 @@
  * Entries that turn out to be missing when the store can be reached again may have expired, and
  * have time to return. This host cannot tell an outage of the store from a partition of its own,
  * in which the targets have left, so that time ends before the host counts as stable again.
+ *
+ * A store that was restored from a snapshot may lack entries, which have the same time to return,
+ * and may hold entries that had been removed, marked as leaving or replaced by another start since
+ * the snapshot. Of these, one that had been removed is held back for [OUTAGE_GRACE_MS]
+ * milliseconds, in which the store's other writers correct it, and the others until they are
+ * written again.
  */
 internal class TargetRegistry(
     private val board: Blackboard,
@@ -33,6 +40,21 @@
     private val expiresAtMs = HashMap<String, Long>()
     private val storedObjects = HashMap<String, StoredObject>()
 
+    /** The starts of targets that have ended, and whether that is final. */
+    private val endedStarts = object : LinkedHashMap<TargetRef, Boolean>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetRef, Boolean>) =
+            size > MAX_ENDED_STARTS
+    }
+
+    /** The entries of a restored store that are not used for now, by name. */
+    private val heldBack = HashMap<String, HeldBack>()
+
+    /** Whether the store was restored from a snapshot since the last listing. */
+    private var isRestored = false
+
+    /** An entry that is used from [untilMs] on, or when it has another revision. */
+    private class HeldBack(val stored: StoredObject, val untilMs: Long)
+
     /**
      * Until when targets without an entry are used in the first state read after failed calls;
      * `null` once it has been read.
@@ -56,6 +78,9 @@
     override suspend fun onListing(listing: Listing) = control.call {
         val present = listing.objects.mapTo(HashSet()) { it.name }
         entries.keys.filter { it !in present }.forEach(::onRemoved)
+        heldBack.keys.retainAll(present)
+        if (isRestored) holdBackOutdated(listing.objects)
+        isRestored = false
         listing.objects.forEach(::onEntry)
         board[BlackboardKeys.areTargetsKnown] = true
         outageGraceEndMs = null
@@ -64,6 +89,7 @@
 
     override suspend fun onChanges(changes: Changes) = control.call {
         changes.removedNames.forEach(::onRemoved)
+        heldBack.keys.removeAll(changes.removedNames.toSet())
         changes.changed.forEach(::onEntry)
         outageGraceEndMs = null
         publish()
@@ -74,21 +100,58 @@
         outageGraceEndMs = minOf(clock.nowMs() + OUTAGE_GRACE_MS, stableAtMs - STABLE_MARGIN_MS)
     }
 
-    /** Drops the entries that have not returned within their grace period. */
+    override suspend fun onStoreRestored() = control.call {
+        isRestored = true
+        if (outageGraceEndMs == null) outageGraceEndMs = clock.nowMs() + OUTAGE_GRACE_MS
+    }
+
+    /**
+     * Drops the entries that have not returned within their grace period, and uses those that have
+     * been held back for long enough.
+     */
     fun expire() {
         val nowMs = clock.nowMs()
         val expired = expiresAtMs.filterValues { nowMs >= it }.keys.toList()
-        if (expired.isEmpty()) return
+        val due = heldBack.filterValues { nowMs >= it.untilMs }
+        if (expired.isEmpty() && due.isEmpty()) return
         expired.forEach {
             expiresAtMs.remove(it)
-            entries.remove(it)
+            entries.remove(it)?.let { entry -> endedStarts.putIfAbsent(entry.ref, false) }
             storedObjects.remove(it)
             log.stateChange("target dropped", "target" to it)
         }
+        due.forEach { (name, held) ->
+            heldBack.remove(name)
+            onEntry(held.stored)
+        }
         publish()
     }
 
+    /** Holds back what a restored store has [listed] of starts that ended since its snapshot. */
+    private fun holdBackOutdated(listed: List<StoredObject>) {
+        heldBack.clear()
+        val nowMs = clock.nowMs()
+        listed.forEach { stored ->
+            val entry = ObjectKinds.decodeTarget(stored)?.takeUnless { it.isLeaving }
+                ?: return@forEach
+            val known = entries[entry.id]
+            val isLeaving = known != null && known.isLeaving && known.ref == entry.ref
+            val isFinal = isLeaving || (endedStarts[entry.ref] ?: return@forEach)
+            heldBack[entry.id] =
+                HeldBack(stored, if (isFinal) Long.MAX_VALUE else nowMs + OUTAGE_GRACE_MS)
+            log.stateChange(
+                "target entry held back",
+                "target" to entry.id,
+                "revision" to stored.revision,
+                "forMs" to if (isFinal) "until written" else OUTAGE_GRACE_MS
+            )
+        }
+        if (heldBack.isNotEmpty()) control.timers.after(OUTAGE_GRACE_MS) { expire() }
+    }
+
     private fun onEntry(stored: StoredObject) {
+        if (heldBack[stored.name]?.stored?.revision == stored.revision) return
+        heldBack.remove(stored.name)
         val entry = ObjectKinds.decodeTarget(stored)
         if (entry == null) {
             log.stateChange(
@@ -102,6 +165,8 @@
         expiresAtMs.remove(entry.id)
         storedObjects[entry.id] = stored
         val known = entries.put(entry.id, entry)
+        if (known != null && known.ref != entry.ref) endedStarts[known.ref] = true
+        endedStarts.remove(entry.ref)
         if (known != entry) {
             log.stateChange(
                 "target changed",
@@ -117,6 +182,8 @@
     private fun onRemoved(name: String) {
         val known = entries[name] ?: return
         val nowMs = clock.nowMs()
+        // An entry that is missing after an outage may only be late.
+        if (known.isLeaving || outageGraceEndMs == null) endedStarts[known.ref] = known.isLeaving
         val graceEndMs = if (known.isLeaving) nowMs else graceEndMs(nowMs)
         val expiryMs = expiresAtMs.getOrPut(name) { graceEndMs }
         control.timers.after(expiryMs - nowMs) { expire() }
@@ -146,5 +213,8 @@
 
         /** For requests that are on their way to a target, which may include a connection. */
         const val STABLE_MARGIN_MS = 300L
+
+        /** Several times the targets of a large deployment that end within an hour. */
+        const val MAX_ENDED_STARTS = 2_000
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/TargetRegistryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/TargetRegistryTest.kt
@@ -14,7 +14,7 @@
 import org.bronzetide.platform.fleet.Listing
 import org.bronzetide.platform.fleet.StoredObject
 
-/** Entries that are removed, expire and return, also around outages of the store. */
+/** Entries that are removed, expire and return, also around outages and restorations of the store. */
 class TargetRegistryTest {
     private val clock = ManualClock()
     private val board = Blackboard()
@@ -103,6 +103,92 @@
             Unit
         }
 
+    /** Guards against a target whose entry is merely written again late. */
+    @Example
+    fun entryThatARestorationLostMayReturnWithinTwoSeconds() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1"), entry("t2")), 5))
+        advance(10_000)
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t2")), 4))
+        advance(2_000)
+        assertThat(usedIds()).containsExactly("t1", "t2")
+        registry.onChanges(Changes(listOf(entry("t1", revision = 6)), emptyList(), 6))
+        advance(300)
+        assertThat(usedIds()).containsExactly("t1", "t2")
+        Unit
+    }
+
+    @Example
+    fun entryThatDoesNotReturnAfterARestorationIsDropped() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1"), entry("t2")), 5))
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t2")), 4))
+        advance(2_300)
+        assertThat(usedIds()).containsExactly("t2")
+        Unit
+    }
+
+    /** Guards against requests to a target whose state goes back to ready with a snapshot. */
+    @Example
+    fun leavingTargetStaysLeavingAfterARestorationUntilItIsWrittenAgain() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        registry.onChanges(Changes(listOf(entry("t1", "draining", 6)), emptyList(), 6))
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        advance(10_000)
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        assertThat(board[BlackboardKeys.targets].getValue("t1").isLeaving).isTrue()
+        registry.onChanges(Changes(listOf(entry("t1", revision = 7)), emptyList(), 7))
+        assertThat(board[BlackboardKeys.targets].getValue("t1").isLeaving).isFalse()
+        Unit
+    }
+
+    /** Guards against requests to a target that had left, as a snapshot still has its entry. */
+    @Example
+    fun targetThatHadLeftIsNotUsedAfterARestorationUntilItIsWrittenAgain() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        registry.onChanges(Changes(listOf(entry("t1", "draining", 6)), emptyList(), 6))
+        registry.onChanges(Changes(emptyList(), listOf("t1"), 7))
+        advance(1)
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        advance(10_000)
+        assertThat(usedIds()).isEmpty()
+        registry.onChanges(Changes(listOf(entry("t1", revision = 6)), emptyList(), 6))
+        assertThat(usedIds()).containsExactly("t1")
+        Unit
+    }
+
+    /** Guards against a burst of failures at targets whose removal a restoration has undone. */
+    @Example
+    fun removedEntryOfARestoredStoreIsUsedOnlyIfItIsNotRemovedAgain() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1"), entry("t2"), entry("t3")), 5))
+        registry.onChanges(Changes(emptyList(), listOf("t1", "t2"), 7))
+        advance(1_300)
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t1"), entry("t2"), entry("t3")), 5))
+        advance(2_100)
+        assertThat(usedIds()).containsExactly("t3")
+        registry.onChanges(Changes(emptyList(), listOf("t1"), 6))
+        advance(200)
+        assertThat(usedIds()).containsExactly("t2", "t3")
+        Unit
+    }
+
+    /** Guards against a start that a later one of the same id had replaced. */
+    @Example
+    fun laterStartOfATargetIsNotReplacedByTheOneOfASnapshot() = runBlocking {
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        val later = entry("t1", revision = 6, address = "10.0.0.2:80")
+        registry.onChanges(Changes(listOf(later), emptyList(), 6))
+        registry.onStoreRestored()
+        registry.onListing(Listing(listOf(entry("t1")), 5))
+        advance(10_000)
+        val used = board[BlackboardKeys.targets].getValue("t1")
+        assertThat(used.address.toString()).isEqualTo("10.0.0.2:80")
+        Unit
+    }
+
     @Example
     fun invalidEntryDoesNotAffectOtherEntries() = runBlocking {
         val invalid = StoredObject("odd", 6, Json.parseToJsonElement("{\"slots\":{}}").jsonObject)
@@ -128,11 +214,16 @@
 
     private fun usedIds(): List<String> = board[BlackboardKeys.targets].keys.sorted()
 
-    private fun entry(id: String, state: String = "ready") = StoredObject(
+    private fun entry(
+        id: String,
+        state: String = "ready",
+        revision: Long = 1,
+        address: String = "10.0.0.1:80"
+    ) = StoredObject(
         id,
-        1,
+        revision,
         Json.parseToJsonElement(
-            """{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"$state"}"""
+            """{"service":"s","address":"$address","zone":"z","slots":4,"state":"$state"}"""
         ).jsonObject
     )
 
