--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreLease.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreLease.kt
@@ -44,7 +44,7 @@
     private val metrics: EdgeMetrics,
     private val durationMs: Long = DEFAULT_DURATION_MS
 ) {
-    /** Unique to this instance, so that the lease of an earlier process is not taken for its own. */
+    /** Unique to this instance: the lease of an earlier process is not taken for its own. */
     private val holder =
         "$nodeName/" + ThreadLocalRandom.current().nextLong().toULong().toString(RADIX)
     private val mutex = Mutex()
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/RestoredStoreTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/RestoredStoreTest.kt
@@ -41,15 +41,14 @@
         Unit
     }
 
-    private suspend fun steadyLoad(env: EdgeTestEnvironment): List<Int> =
-        coroutineScope {
-            List(REQUESTS) { index ->
-                async {
-                    delay(index * INTERVAL_MS)
-                    withTimeout(5_000) { ask(env) }
-                }
-            }.awaitAll()
-        }
+    private suspend fun steadyLoad(env: EdgeTestEnvironment): List<Int> = coroutineScope {
+        List(REQUESTS) { index ->
+            async {
+                delay(index * INTERVAL_MS)
+                withTimeout(5_000) { ask(env) }
+            }
+        }.awaitAll()
+    }
 
     private suspend fun ask(env: EdgeTestEnvironment): Int = env.connect().use { connection ->
         connection.send(env.request("/safe/a", listOf(Header("X-Api-Key", "key-1"))))
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -24,11 +24,7 @@
  * and restorations from a snapshot.
  */
 class StoreStandIn : AutoCloseable {
-    private class Entry(
-        val revision: Long,
-        val body: JsonElement?,
-        val status: JsonElement? = null
-    )
+    private class Entry(val revision: Long, val body: JsonElement?, val status: JsonElement? = null)
 
     /** A response of the store, with the era in which the call was executed. */
     class Reply(val status: Int, val body: String, val era: Long?)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreLeaseTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreLeaseTest.kt
@@ -105,7 +105,7 @@
         assertThat(held.isValid(clock.nowMs())).isFalse()
     }
 
-    /** The era changes after an acquisition was acknowledged; the holder hears it by another call. */
+    /** The era changes after an acquisition was acknowledged; another call tells the holder. */
     @Example
     fun leaseOfTheLostIntervalIsVoidAndNotTakenBeforeItsHolderMustKnow() =
         StoreClientEnvironment.test {
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/TargetRegistryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/TargetRegistryTest.kt
@@ -14,7 +14,7 @@
 import org.bronzetide.platform.fleet.Listing
 import org.bronzetide.platform.fleet.StoredObject
 
-/** Entries that are removed, expire and return, also around outages and restorations of the store. */
+/** Entries that are removed, expire and return, also around faults of the store. */
 class TargetRegistryTest {
     private val clock = ManualClock()
     private val board = Blackboard()
