FleetScheduler: filter candidates by version

A rollout must keep requests from targets of versions that are not allowed. FleetTarget gets an optional version, and choose() asks isVersionAllowed of each free target; by default all are allowed, so nothing changes.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -33,6 +33,9 @@
      */
     public var hostCount: Int = 1
 
+    /** Whether a target may get the next request, by its version; asked only of free targets. */
+    public var isVersionAllowed: (FleetTarget) -> Boolean = { true }
+
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -306,7 +309,7 @@
         // Permits are shares already, and are lost if they are not used.
         val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
             others.takeUnless { usesOwnShare(ticket.service, rank, it, nowMs) }.orEmpty()
-        val candidates = free.filter { it.count < it.spec.slots }
+        val candidates = free.filter { it.count < it.spec.slots && isVersionAllowed(it.spec) }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
         return sampleOf(unsuspected).minByOrNull { score(it, ticket, nowMs) }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -75,7 +75,9 @@
     val isLeaving: Boolean,
     /** Whether the target is a model engine, which takes time in proportion to prompt length. */
     val isEngine: Boolean,
-    val start: TargetStart = TargetStart(0)
+    val start: TargetStart = TargetStart(0),
+    /** The version of the program that it runs, or `null` if it states none. */
+    val version: String? = null
 ) {
     /** This start of the target. */
     public val ref: TargetRef = TargetRef(id, start)
