--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -14,7 +14,9 @@
     /** The slowdowns of targets that it observed since its previous report. */
     val slowdowns: Map<String, Slowdown> = emptyMap(),
     /** Its requests that run or wait, by service and rank. */
-    val demands: Map<String, Map<Int, Int>> = emptyMap()
+    val demands: Map<String, Map<Int, Int>> = emptyMap(),
+    /** What it knows of rollouts, with its own responses. */
+    val rollouts: List<RolloutReport> = emptyList()
 ) {
     /** How many times longer than usual a target took, averaged over [samples] responses. */
     public data class Slowdown(val factor: Double, val samples: Int)
@@ -29,7 +31,8 @@
     /** The number of hosts that have reported, including the receiver. */
     val hostCount: Int,
     /** The requests that run or wait, by service and rank. */
-    val demands: Map<String, Map<Int, Int>> = emptyMap()
+    val demands: Map<String, Map<Int, Int>> = emptyMap(),
+    val rollouts: List<RolloutReport> = emptyList()
 )
 
 /**
@@ -45,6 +48,7 @@
     private val quotaTotals = HashMap<String, Long>()
     private val unannounced = HashMap<String, Long>()
     private val slowdowns = HashMap<String, RecentSlowdown>()
+    private val rollouts = RolloutSums()
     private var startedAtMs = 0L
 
     /** Adds a host's report, which replaces its previous one. */
@@ -55,6 +59,7 @@
         report.slowdowns.filterValues { it.samples > 0 }.forEach { (target, observed) ->
             slowdowns.getOrPut(target) { RecentSlowdown() }.add(observed, nowMs)
         }
+        rollouts.onReport(report.host, report.rollouts, nowMs)
         val use = quotaUse.getOrPut(report.host) { QuotaUse(report.quotaTotalsAtLastUpdate) }
         use.lastReportAtMs = nowMs
         report.quotaTotals.forEach { (account, total) ->
@@ -95,8 +100,8 @@
     /** The slowdowns of targets, averaged over the most recent samples of all hosts. */
     public fun averageSlowdowns(): Map<String, Double> = slowdowns.mapValues { it.value.average }
 
-    /** The combined reports of all hosts except [receiver]. */
-    public fun summaryFor(receiver: String): LoadSummary {
+    /** The combined reports of all hosts except [receiver] at [nowMs]. */
+    public fun summaryFor(receiver: String, nowMs: Long = 0): LoadSummary {
         val loads = HashMap<String, FleetScheduler.PeerLoad>()
         reports.forEach { (host, received) ->
             if (host == receiver) return@forEach
@@ -115,7 +120,8 @@
             quotaTotalsFor(receiver),
             suspects,
             reports.size,
-            demandsWithout(receiver)
+            demandsWithout(receiver),
+            rollouts.summaryFor(receiver, nowMs)
         )
     }
 
