Drive rollouts: orders, status under a lease, counts between hosts

Hosts of deployments whose setting contracts contains rollout watch the orders, count responses by route and version, and exchange the counts in an optional field of Report and Summary. The host whose turn it is takes the service's lease and writes the status on the condition of the object's revision; another one takes over at any step. Without the contract nothing changes.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -29,6 +29,7 @@
 import org.bronzetide.edge.peer.PeerCoordinator
 import org.bronzetide.edge.peer.PeerSocket
 import org.bronzetide.edge.peer.PeerStateClient
+import org.bronzetide.edge.rollout.RolloutControl
 import org.bronzetide.edge.state.BlackboardKeys
 import org.bronzetide.edge.state.Departures
 import org.bronzetide.edge.state.ManifestCache
@@ -87,6 +88,12 @@
     private val responseMemory = ResponseMemory.ofHeap()
     private val quotaLimiter = QuotaLimiter()
     private val peerClient = PeerStateClient(pool, settings.controlAddress.port)
+    private val rollouts: RolloutControl? =
+        if (HostSettings.ROLLOUT_CONTRACT in settings.contracts) {
+            RolloutControl(settings, control, clock, store, log, metrics) { fleet.rankFor(it) }
+        } else {
+            null
+        }
     private val peers = PeerSocket(
         SocketAddress(settings.ip, settings.peerPorts.first),
         log
@@ -102,7 +109,8 @@
             peers::send,
             { manifest()?.version ?: 0 },
             ::fetchManifest,
-            { departures.markAsHeardByPeer(it) }
+            { departures.markAsHeardByPeer(it) },
+            rollouts?.exchange
         )
     )
     private val retryBudget = WindowedRetryBudget(
@@ -128,7 +136,7 @@
     }
     private val processEnd = ProcessEnd()
     private val forwarder = RequestForwarder(
-        SchedulerAdapter(control, clock, scheduler),
+        SchedulerAdapter(control, clock, scheduler, rollouts),
         TargetClient(pool, clock, departures, responseMemory),
         clock,
         retryBudget,
@@ -199,6 +207,7 @@
         }
         control.post {
             scheduler.limits.onChange = ::logLimitChange
+            rollouts?.start(scheduler)
             fleet.start()
             control.timers.every(MAINTENANCE_INTERVAL_MS) {
                 pool.evictStale()
@@ -209,6 +218,10 @@
         registerGauges()
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
+        rollouts?.let {
+            scope.launch { watchStore(ObjectKinds.ROLLOUTS, it.orders) }
+            scope.launch { it.driver.run() }
+        }
         scope.launch { bootstrapFromPeers() }
         warmUp = scope.launch {
             try {
@@ -355,7 +368,10 @@
     }
 
     private fun updateTargets() {
-        scheduler.updateTargets(board[BlackboardKeys.targets].values.map(::toFleetTarget))
+        val entries = board[BlackboardKeys.targets]
+        val targets = entries.values.map(::toFleetTarget)
+        rollouts?.onTargets(targets, entries)
+        scheduler.updateTargets(targets)
         scheduler.decide(clock.nowMs())
     }
 
@@ -366,7 +382,8 @@
         entry.slots,
         entry.isLeaving || entry in departures,
         isEngine = manifest()?.services?.get(entry.service)?.engine != null,
-        start = entry.ref.start
+        start = entry.ref.start,
+        version = entry.version
     )
 
     private companion object {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -132,7 +132,7 @@
     private suspend fun awaitDecision(state: State): FleetDecision {
         val ticket = newTicket(state, state.avoid.toSet())
         state.ticketSequence = ticket.sequence
-        return scheduler.awaitDecision(ticket)
+        return scheduler.awaitDecision(ticket, state.call.route.name, state.sends == 0)
     }
 
     private fun newTicket(state: State, avoid: Set<String>): FleetTicket {
@@ -321,7 +321,8 @@
         if (!retryBudget.tryRetry(call.service, clock.nowMs())) return false
         val current = state.currentTargetId
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
-        val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
+        val decision = scheduler.awaitDecision(ticket, call.route.name, isFirst = false)
+            as? FleetDecision.Send ?: return false
         var outcome = FleetOutcome.UNSENT
         var mayHaveRun = true
         val run = call.runs.Run()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -19,7 +19,8 @@
 internal class SchedulerAdapter(
     private val control: ControlLoop,
     private val clock: MonotonicClock,
-    private val scheduler: FleetScheduler
+    private val scheduler: FleetScheduler,
+    private val listener: SendListener? = null
 ) {
     private var isDecisionScheduled = false
 
@@ -27,12 +28,24 @@
      * Queues [ticket] and waits for the scheduler's decision, or throws what the scheduler throws.
      * If the wait is cancelled or fails, the ticket is withdrawn and a slot that was already
      * granted is released.
+     *
+     * [route] names the request's route, and [isFirst] tells that it was not sent before.
      */
-    suspend fun awaitDecision(ticket: FleetTicket): FleetDecision {
+    suspend fun awaitDecision(
+        ticket: FleetTicket,
+        route: String = "",
+        isFirst: Boolean = true
+    ): FleetDecision {
         val result = CompletableDeferred<FleetDecision>()
         control.post {
             try {
-                scheduler.enroll(ticket, clock.nowMs()) { result.complete(it) }
+                scheduler.enroll(ticket, clock.nowMs()) {
+                    if (it is FleetDecision.Send) {
+                        val (sequence, service) = ticket
+                        listener?.onSend(sequence, service, route, it.targetId, isFirst)
+                    }
+                    result.complete(it)
+                }
             } catch (cause: Throwable) {
                 // Another ticket's failure, if this one has its decision.
                 if (!result.completeExceptionally(cause)) throw cause
@@ -45,7 +58,9 @@
         } catch (cause: Throwable) {
             control.post {
                 scheduler.withdraw(ticket.sequence)
-                scheduler.release(ticket.sequence, FleetOutcome.UNSENT, clock.nowMs())
+                val nowMs = clock.nowMs()
+                scheduler.release(ticket.sequence, FleetOutcome.UNSENT, nowMs)
+                listener?.onEnd(ticket.sequence, FleetOutcome.UNSENT, nowMs)
             }
             throw cause
         }
@@ -93,7 +108,10 @@
      */
     fun release(sequence: Long, outcome: FleetOutcome, msPerEvent: Double = 0.0) {
         val nowMs = clock.nowMs()
-        control.post { scheduler.release(sequence, outcome, nowMs, msPerEvent) }
+        control.post {
+            listener?.onEnd(sequence, outcome, nowMs)
+            scheduler.release(sequence, outcome, nowMs, msPerEvent)
+        }
     }
 
     private fun scheduleDecision() {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -44,7 +44,9 @@
         /** Called with the IP address of a host that holds a newer manifest. */
         val onNewerManifest: (String) -> Unit,
         /** Called with a target that has said to another host that it leaves. */
-        val onPeerDeparture: (TargetRef) -> Unit
+        val onPeerDeparture: (TargetRef) -> Unit,
+        /** `null` if operators order no rollouts. */
+        val rollouts: RolloutExchange? = null
     )
 
     private val self = NodeId.ofNewProcess(settings.nodeName, random)
@@ -103,6 +105,12 @@
     /** The id of the host that takes over from the aggregator, or an empty string. */
     val backupName: String get() = backup?.value.orEmpty()
 
+    /** The position of this host in the order in which live hosts take over [task]; from 0. */
+    fun rankFor(task: String): Int {
+        val alive = membership.view().filter { it.state == MemberState.ALIVE }.map { it.id }
+        return RendezvousHash.rank(task, alive + self).distinct().indexOf(self)
+    }
+
     /** The members with their states, for display. */
     fun memberNames(): List<String> = membership.view().map { "${it.id.value} ${it.state}" }
 
@@ -237,7 +245,8 @@
             quotas.ownTotalsAtLastUpdate(),
             scheduler.suspects(nowMs),
             scheduler.takeObservedSlowdowns(),
-            scheduler.ownDemands(nowMs)
+            scheduler.ownDemands(nowMs),
+            env.rollouts?.takeReports(nowMs).orEmpty()
         )
         reportToBackup(report, nowMs)
         when {
@@ -337,7 +346,9 @@
         // Summaries go to all hosts: most runs that a crash ended are sound and never recur.
         val crashes = crashEvidence.takeDue(nowMs, exchangeIntervalMs(), minCrashes = 2)
         issuePermits(nowMs)
-        aggregator.hosts().forEach { sendSummary(it, slowdowns, crashes) }
+        val rollouts = aggregator.rolloutsFor(self.value, nowMs)
+        val includesRollouts = env.rollouts?.isSummaryDue(rollouts, nowMs) ?: false
+        aggregator.hosts().forEach { sendSummary(it, slowdowns, crashes, includesRollouts) }
         aggregator.onAnnounced()
     }
 
@@ -350,9 +361,12 @@
     private fun sendSummary(
         host: String,
         slowdowns: Map<String, Double>,
-        crashes: PeerMessage.Crashes?
+        crashes: PeerMessage.Crashes?,
+        includesRollouts: Boolean
     ) {
         val summary = aggregator.summaryFor(host)
+        val nowMs = clock.nowMs()
+        val rollouts = if (includesRollouts) aggregator.rolloutsFor(host, nowMs) else emptyList()
         val message = PeerMessage.Summary(
             self.value,
             summary.loads.toMessages(),
@@ -360,11 +374,12 @@
             summary.hostCount,
             summary.suspects.toList(),
             slowdowns.toSlowdownMessages(),
-            aggregator.ageMs(clock.nowMs()),
+            aggregator.ageMs(nowMs),
             summary.demands.toDemandMessages(),
             crashes,
-            statementExchange.summaryFor(host, clock.nowMs()),
-            quotaExchange.levelsFor(host)
+            statementExchange.summaryFor(host, nowMs),
+            quotaExchange.levelsFor(host),
+            rollouts.toRolloutMessages()
         )
         if (host == self.value) return onSummary(message)
         reporterIps[host]?.let { env.send(addressOf(it), message) }
@@ -386,7 +401,8 @@
         // Hosts that have chosen this one are served even if it has chosen another aggregator.
         if (currentAggregator != self) {
             issuePermits(nowMs)
-            sendSummary(message.host, emptyMap(), crashEvidence.takeDueFor(message.host, nowMs))
+            val crashes = crashEvidence.takeDueFor(message.host, nowMs)
+            sendSummary(message.host, emptyMap(), crashes, message.rollouts != null)
         }
     }
 
@@ -420,6 +436,7 @@
         scheduler.updatePeerSuspects(message.suspects.toSet())
         scheduler.updateFleetSlowdowns(message.slowdowns.toFactors())
         scheduler.hostCount = hostCount
+        env.rollouts?.onSummary(message.rollouts.toRolloutReports(), message.hostCount, nowMs)
         message.statements?.let {
             statementExchange.onSummary(message.aggregator, it, exchangeIntervalMs(), nowMs)
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -35,7 +35,9 @@
         @CborLabel(8) val isForBackup: Boolean = false,
         @CborLabel(9) val statements: Statements? = null,
         /** Whether the host has started and does not know yet what is left of quotas. */
-        @CborLabel(10) val needsQuotaLevels: Boolean = false
+        @CborLabel(10) val needsQuotaLevels: Boolean = false,
+        /** The rollouts that it knows, some of the time while there are any. */
+        @CborLabel(11) val rollouts: List<Rollout>? = null
     ) : PeerMessage()
 
     /** What the others have consumed of quotas, from an aggregator or its backup. */
@@ -68,7 +70,9 @@
         @CborLabel(9) val crashes: Crashes? = null,
         @CborLabel(10) val statements: Statements? = null,
         /** What is left of quotas, if the receiver needs it and the sender knows it. */
-        @CborLabel(11) val quotaLevels: List<QuotaLevel>? = null
+        @CborLabel(11) val quotaLevels: List<QuotaLevel>? = null,
+        /** The rollouts that the others know, some of the time while there are any. */
+        @CborLabel(12) val rollouts: List<Rollout>? = null
     ) : PeerMessage()
 
     /** The requests in progress at a target. */
@@ -172,6 +176,35 @@
     @Serializable
     data class Permits(@CborLabel(1) val target: Target, @CborLabel(2) val count: Int)
 
+    /** What the sender knows of the rollout of a service's version. */
+    @Serializable
+    data class Rollout(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val to: String,
+        @CborLabel(3) val durationMs: Long,
+        /** The time since the order, in milliseconds. */
+        @CborLabel(4) val elapsedMs: Long,
+        /** 0 if it is undecided, 1 if it is completed, 2 if the version gets no requests. */
+        @CborLabel(5) val decision: Int = 0,
+        /** Whether the store has the decision. */
+        @CborLabel(6) val isRecorded: Boolean = false,
+        @CborLabel(7) val evidence: String = "",
+        @CborLabel(8) val routes: List<RouteResponses> = emptyList(),
+        @CborLabel(9) val failedTargets: List<String> = emptyList()
+    )
+
+    /** The responses on a route, of the new version or of the others; logarithms are in 1/1000. */
+    @Serializable
+    data class RouteResponses(
+        @CborLabel(1) val route: String,
+        @CborLabel(2) val isNew: Boolean,
+        @CborLabel(3) val ended: Long,
+        @CborLabel(4) val failures: Long = 0,
+        @CborLabel(5) val answered: Long = ended,
+        @CborLabel(6) val lnMilliSum: Long = 0,
+        @CborLabel(7) val lnSquareMilliSum: Long = 0
+    )
+
     companion object {
         /** CBOR with integer labels as keys. */
         val codec = Cbor {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessageConversions.kt
@@ -34,7 +34,8 @@
     crashes,
     isForBackup,
     statements,
-    needsQuotaLevels
+    needsQuotaLevels,
+    rollouts.toRolloutMessages()
 )
 
 internal fun PeerMessage.Report.toLoadReport(): LoadReport = LoadReport(
@@ -44,7 +45,8 @@
     quotas.associate { it.account to it.unitsAtLastUpdate },
     suspects.toSet(),
     slowdowns.associate { it.target to LoadReport.Slowdown(it.percent / PERCENT, it.samples) },
-    demands.toDemands()
+    demands.toDemands(),
+    rollouts.toRolloutReports()
 )
 
 /** The quotas' part of a summary. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -55,6 +55,14 @@
     fun onLeaseChange(change: String) = Counter.builder("bronzetide.edge.lease.changes")
         .tag("change", change).register(registry).increment()
 
+    /** Counts a version that this host has stopped to use on its evidence, or on that of others. */
+    fun onRolloutStop() =
+        Counter.builder("bronzetide.edge.rollout.stops").register(registry).increment()
+
+    /** Counts an attempt to write the status of a rollout: its state, or `FAILED`. */
+    fun onRolloutWrite(result: String) = Counter.builder("bronzetide.edge.rollout.status.writes")
+        .tag("result", result).register(registry).increment()
+
     /** Registers a gauge [name] that reads [value] at each scrape. */
     fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -14,6 +14,7 @@
 import org.bronzetide.scheduling.fleet.FleetTicket
 import org.bronzetide.scheduling.fleet.PromptPart
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.RolloutPolicy
 import org.bronzetide.scheduling.fleet.TargetRef
 
 /**
@@ -80,6 +81,8 @@
         private var sequences = 1_000L
         val scheduler = FleetScheduler("z1", Random(index))
         val target = FleetTarget("t1", "model", "z1", 8, isLeaving = false, isEngine = true)
+        val rollouts = RolloutPolicy(0.1, 50.0) { exchange.hostCount }
+        private val exchange: RolloutExchange = RolloutExchange(rollouts, hasOtherSeeds = true)
         private val settings = EdgeTestEnvironment.settings(1, name).copy(
             ip = ip,
             peerPorts = 7_600..7_600,
@@ -96,7 +99,8 @@
                 { to, message -> deliver(this, to, message) },
                 { manifestVersion },
                 { newerManifestAt += it },
-                { departures += it }
+                { departures += it },
+                exchange
             ),
             Random(random.nextLong())
         )
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -73,6 +73,10 @@
     @Volatile
     var intercept: suspend (IncomingRequest, () -> Reply) -> Reply? = { _, execute -> execute() }
 
+    /** The number of calls for rollouts so far. */
+    @Volatile
+    var rolloutCallCount = 0
+
     private val server = StandInServer { request, body, connection ->
         respond(request, body, connection)
     }
@@ -105,6 +109,11 @@
     @Synchronized
     fun spec(kind: String, name: String): String? = kinds[kind]?.get(name)?.body?.toString()
 
+    /** The present status of an object as JSON, or `null` if it has none. */
+    @Synchronized
+    fun status(kind: String, name: String): String? =
+        kinds[kind]?.get(name)?.status?.toString()
+
     /** Writes what [edit] makes of an object's body. */
     @Synchronized
     fun edit(kind: String, name: String, edit: (String) -> String) =
@@ -133,6 +142,7 @@
         if (isUnavailable) return send(connection, 503, "")
         val kind = request.path.removePrefix("/objects/").substringBefore('/')
         if (kind == "config") manifestCallCount++
+        if (kind == "rollouts") rolloutCallCount++
         if (isUnresponsive) awaitCancellation()
         val query = request.requestTarget.substringAfter('?', "").split('&')
             .associate { it.substringBefore('=') to it.substringAfter('=') }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/ExposureBudget.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/ExposureBudget.kt
@@ -20,6 +20,12 @@
         if (isExposed) exposed++
     }
 
+    /** Takes back a send that was counted but not made. */
+    fun onUnsent(isFirst: Boolean, isExposed: Boolean) {
+        if (isFirst) requests--
+        if (isExposed) exposed--
+    }
+
     /**
      * Whether another request may be sent to the version, using at most [part] of the budget. With
      * [hostCount] 0, which is unknown, there is no share of the slack. [pending] requests have
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/LoadAggregator.kt
@@ -31,8 +31,7 @@
     /** The number of hosts that have reported, including the receiver. */
     val hostCount: Int,
     /** The requests that run or wait, by service and rank. */
-    val demands: Map<String, Map<Int, Int>> = emptyMap(),
-    val rollouts: List<RolloutReport> = emptyList()
+    val demands: Map<String, Map<Int, Int>> = emptyMap()
 )
 
 /**
@@ -100,8 +99,12 @@
     /** The slowdowns of targets, averaged over the most recent samples of all hosts. */
     public fun averageSlowdowns(): Map<String, Double> = slowdowns.mapValues { it.value.average }
 
-    /** The combined reports of all hosts except [receiver] at [nowMs]. */
-    public fun summaryFor(receiver: String, nowMs: Long = 0): LoadSummary {
+    /** What is known of rollouts at [nowMs], with the responses of all hosts except [receiver]. */
+    public fun rolloutsFor(receiver: String, nowMs: Long): List<RolloutReport> =
+        rollouts.summaryFor(receiver, nowMs)
+
+    /** The combined reports of all hosts except [receiver]. */
+    public fun summaryFor(receiver: String): LoadSummary {
         val loads = HashMap<String, FleetScheduler.PeerLoad>()
         reports.forEach { (host, received) ->
             if (host == receiver) return@forEach
@@ -120,8 +123,7 @@
             quotaTotalsFor(receiver),
             suspects,
             reports.size,
-            demandsWithout(receiver),
-            rollouts.summaryFor(receiver, nowMs)
+            demandsWithout(receiver)
         )
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -1,5 +1,7 @@
 package org.bronzetide.scheduling.fleet
 
+import kotlin.math.exp
+
 /**
  * Decides on one host which versions of a service get requests while operators roll one out.
  *
@@ -7,8 +9,9 @@
  * time, and is judged by the responses on all hosts. A host that sees evidence of a fault stops at
  * once, and the others when they hear of it; the store's decision is final. Shortly before a
  * rollout completes, the rest of the share is spent at once, so that the old targets, which stop
- * without draining, have few requests left. A host that has not heard from others for
- * [MAX_SILENCE_MS] sends none to the new version, as the others may have found a fault.
+ * without draining, have few requests left. A host that has not heard from others for half of the
+ * time that operators allow for a rollback sends none to the new version, as the others may have
+ * found a fault.
  *
  * It does no I/O and has no clock. Times are in milliseconds on the host's clock. Single-threaded.
  */
@@ -17,8 +20,13 @@
     private val exposureShare: Double,
     /** The requests that a bad version may get in addition, on all hosts together. */
     private val exposureSlack: Double,
+    /** The time within which all hosts must stop to use a version that has shown a fault. */
+    rollbackMs: Long = 5_000,
     private val hostCount: () -> Int
 ) {
+    /** Summed counts take a second to spread; the rest is for a change of the aggregator. */
+    private val maxSilenceMs = rollbackMs / 2
+
     private val rollouts = HashMap<String, ServiceRollout>()
     private val earlierOrders = HashSet<RolloutOrder>()
     private val targets = HashMap<String, FleetTarget>()
@@ -32,7 +40,7 @@
     public var onStop: (RolloutOrder, String) -> Unit = { _, _ -> }
 
     /** Whether this host knows what the others have seen. */
-    public fun isInformed(nowMs: Long): Boolean = nowMs - heardAtMs <= MAX_SILENCE_MS
+    public fun isInformed(nowMs: Long): Boolean = nowMs - heardAtMs <= maxSilenceMs
 
     /** Records that this host has heard from others at [nowMs], or has none to hear from. */
     public fun onHeard(nowMs: Long) {
@@ -149,7 +157,7 @@
         val isNew = target.version == rollout.order.to.name
         rollout.budget.onSend(isFirst, isNew)
         rollout.choices.onCounted()
-        sends[sequence] = Send(rollout, route, targetId, isNew, nowMs)
+        sends[sequence] = Send(rollout, route, targetId, isFirst, isNew, nowMs)
     }
 
     /** Records how the send for ticket [sequence] ended. */
@@ -170,9 +178,18 @@
                 }
             }
 
+            FleetOutcome.CANCELLED -> {
+                val latencyMs = nowMs - send.sentAtMs
+                if (rollout.isLate(send.route, latencyMs)) {
+                    rollout.count(send) { it.withAnswer(latencyMs) }
+                }
+            }
+
             // Targets of any version crash, refuse, leave or cannot be reached.
             FleetOutcome.REFUSED, FleetOutcome.UNREACHABLE, FleetOutcome.GONE,
-            FleetOutcome.CRASHED, FleetOutcome.CANCELLED, FleetOutcome.UNSENT -> Unit
+            FleetOutcome.CRASHED -> Unit
+
+            FleetOutcome.UNSENT -> rollout.budget.onUnsent(send.isFirst, send.isNew)
         }
         judge(rollout, nowMs)
     }
@@ -199,21 +216,26 @@
         }
     }
 
+    /** Whether the store should have a decision on [service] by now. */
+    public fun isDecisionDue(service: String, nowMs: Long): Boolean {
+        val rollout = rollouts[service] ?: return false
+        if (rollout.decision != RolloutDecision.Undecided) return true
+        val elapsedMs = rollout.elapsedMs(nowMs)
+        val schedule = RolloutSchedule(rollout.order.durationMs)
+        // Without the counts of the others, they are waited for as long as possible.
+        val dueMs = if (isInformed(nowMs)) schedule.completeAtMs else schedule.lastChanceAtMs
+        return elapsedMs >= dueMs
+    }
+
     /**
-     * Returns what the store should have on [service], or `null` if it is up to date or cannot be
-     * decided yet. The status is active until this host has evidence of a fault, or the time to
-     * complete has come.
+     * Decides what the store should have on [service], or returns `null` without an order. To be
+     * called by the one host that writes it: hosts judge by slightly different counts, and the
+     * first doubt would give up the version.
      */
     public fun proposal(service: String, nowMs: Long): RolloutDecision? {
-        val rollout = rollouts[service]?.takeIf { !it.isRecorded } ?: return null
+        val rollout = rollouts[service] ?: return null
         if (rollout.decision != RolloutDecision.Undecided) return rollout.decision
-        val elapsedMs = rollout.elapsedMs(nowMs)
-        val schedule = RolloutSchedule(rollout.order.durationMs)
-        if (elapsedMs < schedule.completeAtMs) return RolloutDecision.Undecided
-        // Without the counts of the others, good news is waited for as long as possible.
-        if (!isInformed(nowMs) && elapsedMs < schedule.lastChanceAtMs) {
-            return RolloutDecision.Undecided
-        }
+        if (!isDecisionDue(service, nowMs)) return RolloutDecision.Undecided
         val doubt = RolloutJudge.findDoubt(rollout.counts)
         if (doubt == null) return RolloutDecision.Completed
         stop(rollout, doubt)
@@ -265,6 +287,7 @@
         val rollout: ServiceRollout,
         val route: String,
         val targetId: String,
+        val isFirst: Boolean,
         val isNew: Boolean,
         val sentAtMs: Long
     )
@@ -322,6 +345,15 @@
             own = own.withRoute(send.route, send.isNew, change)
         }
 
+        /**
+         * Whether a request on [route] that was given up after [latencyMs] shows that its target
+         * is slow. Without those, the latencies of a slow version would be cut at the deadlines.
+         */
+        fun isLate(route: String, latencyMs: Long): Boolean {
+            val usual = counts.oldByRoute[route]?.takeIf { it.answered > 0 } ?: return false
+            return latencyMs > LATE_FACTOR * exp(usual.lnMean)
+        }
+
         /** The counts about [RECENT_MS] ago; a version may turn bad after many good responses. */
         fun countsBefore(nowMs: Long): RolloutCounts {
             val last = history.lastOrNull()
@@ -336,9 +368,6 @@
     }
 
     private companion object {
-        /** With the spread of summed counts, well within the 5 s to stop after a fault shows. */
-        const val MAX_SILENCE_MS = 2_500L
-
         /** The part of the budget that is spent on judging; the rest is for the final shift. */
         const val CANARY_PART = 0.65
 
@@ -347,6 +376,7 @@
 
         /** Two periods of the canaries, so that each window has a whole burst. */
         const val RECENT_MS = 2 * CanarySelection.PERIOD_MS
+        const val LATE_FACTOR = 2
         const val HISTORY_STEP_MS = 500L
 
         /** Two groups of targets have been tried by then, the second in the next period. */
