RolloutJudge: leave out the target with the most failures

A target that hangs fails all that it gets on every host, which looked like a fault of the version under trial.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -190,7 +190,14 @@
         @CborLabel(6) val isRecorded: Boolean = false,
         @CborLabel(7) val evidence: String = "",
         @CborLabel(8) val routes: List<RouteResponses> = emptyList(),
-        @CborLabel(9) val failedTargets: List<String> = emptyList()
+        @CborLabel(9) val failures: List<TargetFailures> = emptyList()
+    )
+
+    /** The failures at a target of a new version. */
+    @Serializable
+    data class TargetFailures(
+        @CborLabel(1) val target: String,
+        @CborLabel(2) val count: Long
     )
 
     /** The responses on a route, of the new version or of the others; logarithms are in 1/1000. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/RolloutMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/RolloutMessageConversions.kt
@@ -34,7 +34,7 @@
     isRecorded,
     (decision as? RolloutDecision.RolledBack)?.evidence.orEmpty().take(MAX_EVIDENCE_CHARS),
     counts.oldByRoute.toMessages(isNew = false) + counts.newByRoute.toMessages(isNew = true),
-    counts.failedTargets.toList()
+    counts.failuresByTarget.map { PeerMessage.TargetFailures(it.key, it.value) }
 )
 
 private fun PeerMessage.Rollout.toReport(): RolloutReport {
@@ -42,7 +42,11 @@
     return RolloutReport(
         RolloutOrder(service, ServiceVersion(to), durationMs),
         elapsedMs,
-        RolloutCounts(new.toCounts(), old.toCounts(), failedTargets.toSet()),
+        RolloutCounts(
+            new.toCounts(),
+            old.toCounts(),
+            failures.associate { it.target to it.count }
+        ),
         when (decision) {
             COMPLETED -> RolloutDecision.Completed
             ROLLED_BACK -> RolloutDecision.RolledBack(evidence)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutJudge.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutJudge.kt
@@ -9,8 +9,11 @@
  *
  * Both are compared on each route and on all routes together. The tests run several times a second
  * for the whole rollout, so they ask for more than the usual significance of a single test.
+ *
+ * A target that hangs fails all that it gets, on every host, whatever its version. So the failures
+ * at the target with the most of them are left out, unless the new version has only one target.
  */
-internal object RolloutJudge {
+internal class RolloutJudge(private val isOneTarget: Boolean) {
     /**
      * Returns the evidence in [counts] that the version is bad, or `null` without any. Latencies
      * are of use only if [areTargetsVaried], as the first that are tried may be slow machines.
@@ -49,15 +52,17 @@
         counts: RolloutCounts,
         limits: Limits
     ): String? {
-        val isOneTarget = counts.failedTargets.size < 2
         val minFailures = if (isOneTarget) limits.minFailuresOfOneTarget else limits.minFailures
-        if (new.failures < minFailures) return null
+        val leftOut = if (isOneTarget) 0 else counts.failuresByTarget.values.maxOrNull() ?: 0
+        val failures = new.failures - leftOut
+        if (failures < minFailures) return null
+        val ended = new.ended - leftOut
         val share = (old.failures + 0.5) / (old.ended + 1.0)
         val error = sqrt(share * (1 - share) / (old.ended + 1.0))
         val expected = (share + error).coerceIn(MIN_FAILURE_SHARE, MAX_FAILURE_SHARE)
-        val deviation = sqrt(new.ended * expected * (1 - expected))
-        val limit = new.ended * expected + limits.failureDeviations * deviation
-        if (new.failures <= limit) return null
+        val deviation = sqrt(ended * expected * (1 - expected))
+        val limit = ended * expected + limits.failureDeviations * deviation
+        if (failures <= limit) return null
         return "${new.failures} of ${new.ended} failed, " +
             "${old.failures} of ${old.ended} before"
     }
@@ -87,7 +92,7 @@
 
     private class Limits(
         val minFailures: Long,
-        /** A target that hangs or breaks off fails all that it runs, whatever its version. */
+        /** Some twice of what a target that breaks off once fails at the same time. */
         val minFailuresOfOneTarget: Long,
         val failureDeviations: Double,
         val minLatencies: Long,
@@ -98,39 +103,41 @@
         val latencyDeviations: Double
     )
 
-    /**
-     * Targets of one version differ in speed by 0.55 to 2.8 times the mean, of which the few that
-     * are tried at a time may be the slow ones.
-     */
-    private val usual = Limits(
-        minFailures = 5,
-        minFailuresOfOneTarget = 12,
-        failureDeviations = 3.5,
-        minLatencies = 12,
-        slowFactor = 2.5,
-        minSlowFactor = 1.9,
-        latencyDeviations = 2.5
-    )
-    private val failuresOnly = Limits(
-        minFailures = usual.minFailures,
-        minFailuresOfOneTarget = usual.minFailuresOfOneTarget,
-        failureDeviations = usual.failureDeviations,
-        minLatencies = Long.MAX_VALUE,
-        slowFactor = usual.slowFactor,
-        minSlowFactor = usual.minSlowFactor,
-        latencyDeviations = usual.latencyDeviations
-    )
-    private val final = Limits(
-        minFailures = 3,
-        minFailuresOfOneTarget = 8,
-        failureDeviations = 3.0,
-        minLatencies = 6,
-        slowFactor = 2.3,
-        minSlowFactor = 1.5,
-        latencyDeviations = 2.0
-    )
+    private companion object {
+        /**
+         * Targets of one version differ in speed by 0.55 to 2.8 times the mean, of which the few that
+         * are tried at a time may be the slow ones.
+         */
+        val usual = Limits(
+            minFailures = 5,
+            minFailuresOfOneTarget = 12,
+            failureDeviations = 3.5,
+            minLatencies = 12,
+            slowFactor = 2.5,
+            minSlowFactor = 1.9,
+            latencyDeviations = 2.5
+        )
+        val failuresOnly = Limits(
+            minFailures = usual.minFailures,
+            minFailuresOfOneTarget = usual.minFailuresOfOneTarget,
+            failureDeviations = usual.failureDeviations,
+            minLatencies = Long.MAX_VALUE,
+            slowFactor = usual.slowFactor,
+            minSlowFactor = usual.minSlowFactor,
+            latencyDeviations = usual.latencyDeviations
+        )
+        val final = Limits(
+            minFailures = 3,
+            minFailuresOfOneTarget = 8,
+            failureDeviations = 3.0,
+            minLatencies = 6,
+            slowFactor = 2.3,
+            minSlowFactor = 1.5,
+            latencyDeviations = 2.0
+        )
 
-    /** Failures of single targets and paths are expected of any version. */
-    private const val MIN_FAILURE_SHARE = 0.015
-    private const val MAX_FAILURE_SHARE = 0.9
+        /** Failures of single targets and paths are expected of any version. */
+        const val MIN_FAILURE_SHARE = 0.015
+        const val MAX_FAILURE_SHARE = 0.9
+    }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -111,9 +111,8 @@
     /** Whether the next request of [service] may be sent to a target of [version]. */
     public fun mayUse(service: String, version: String?, nowMs: Long): Boolean {
         val rollout = rollouts[service]
-        if (rollout?.order?.to?.name != version && HeldVersion(service, version) in heldVersions) {
-            return false
-        }
+        val isHeld = heldVersions.isNotEmpty() && HeldVersion(service, version) in heldVersions
+        if (isHeld && rollout?.order?.to?.name != version) return false
         if (rollout == null) return true
         val isNew = version == rollout.order.to.name
         return when (rollout.decision) {
@@ -170,10 +169,7 @@
             FleetOutcome.ERROR, FleetOutcome.FAILED -> {
                 rollout.count(send) { it.withFailure() }
                 if (send.isNew) {
-                    val failed = rollout.own.failedTargets
-                    if (failed.size < MAX_FAILED_TARGETS) {
-                        rollout.own = rollout.own.copy(failedTargets = failed + send.targetId)
-                    }
+                    rollout.own = rollout.own.withFailureAt(send.targetId)
                     rollout.choices.suspend(nowMs + RETRY_PAUSE_MS)
                 }
             }
@@ -221,7 +217,7 @@
         val rollout = rollouts[service] ?: return false
         if (rollout.decision != RolloutDecision.Undecided) return true
         val elapsedMs = rollout.elapsedMs(nowMs)
-        val schedule = RolloutSchedule(rollout.order.durationMs)
+        val schedule = rollout.schedule
         // Without the counts of the others, they are waited for as long as possible.
         val dueMs = if (isInformed(nowMs)) schedule.completeAtMs else schedule.lastChanceAtMs
         return elapsedMs >= dueMs
@@ -236,7 +232,7 @@
         val rollout = rollouts[service] ?: return null
         if (rollout.decision != RolloutDecision.Undecided) return rollout.decision
         if (!isDecisionDue(service, nowMs)) return RolloutDecision.Undecided
-        val doubt = RolloutJudge.findDoubt(rollout.counts)
+        val doubt = rollout.judge.findDoubt(rollout.counts)
         if (doubt == null) return RolloutDecision.Completed
         stop(rollout, doubt)
         return rollout.decision
@@ -245,9 +241,8 @@
     private fun mayExpose(rollout: ServiceRollout, nowMs: Long): Boolean {
         if (!isInformed(nowMs)) return false
         val elapsedMs = rollout.elapsedMs(nowMs)
-        val schedule = RolloutSchedule(rollout.order.durationMs)
         val part = when {
-            schedule.isShift(elapsedMs) -> 1.0
+            rollout.schedule.isShift(elapsedMs) -> 1.0
             CanarySelection.isBurst(elapsedMs) -> CANARY_PART
             else -> CANARY_PART * SPREAD_PART
         }
@@ -258,7 +253,7 @@
     private fun isForNew(rollout: ServiceRollout, nowMs: Long): Boolean {
         val elapsedMs = rollout.elapsedMs(nowMs)
         val isWanted = CanarySelection.isBurst(elapsedMs) ||
-            RolloutSchedule(rollout.order.durationMs).isShift(elapsedMs)
+            rollout.schedule.isShift(elapsedMs)
         return isWanted &&
             rollout.hasNewTargets &&
             mayExpose(rollout, nowMs) &&
@@ -271,9 +266,13 @@
         rollout.judgedAtMs = nowMs
         val counts = rollout.counts
         val recent = counts - rollout.countsBefore(nowMs)
+        val judge = rollout.judge
         val areTargetsVaried = rollout.elapsedMs(nowMs) >= MIN_LATENCY_TIME_MS
-        val evidence = RolloutJudge.findFault(counts, areTargetsVaried)
-            ?: RolloutJudge.findFault(recent, areTargetsVaried)
+        rollout.tryOthersThan(
+            counts.failuresByTarget.filterValues { it >= FAILURES_TO_TRY_OTHERS }.keys
+        )
+        val evidence = judge.findFault(counts, areTargetsVaried)
+            ?: judge.findFault(recent, areTargetsVaried)
         if (evidence != null) stop(rollout, evidence)
     }
 
@@ -306,6 +305,10 @@
         val choices = VersionChoices()
         private var newIds = emptyList<String>()
         private var oldCount = 0
+        private var failedIds = emptySet<String>()
+        var judge = RolloutJudge(isOneTarget = false)
+            private set
+        val schedule = RolloutSchedule(order.durationMs)
         private var canaries = emptySet<String>()
         private var canariesPeriod = -1L
         private val history = ArrayDeque<Pair<Long, RolloutCounts>>()
@@ -326,16 +329,28 @@
                 .partition { it.version == order.to.name }
             newIds = new.map { it.id }
             oldCount = old.size
+            judge = RolloutJudge(isOneTarget = new.size == 1)
+            canariesPeriod = -1
+        }
+
+        /**
+         * Tries new targets other than those of [failed]: only failures at several targets tell a
+         * bad version from a bad machine.
+         */
+        fun tryOthersThan(failed: Set<String>) {
+            if (failed == failedIds) return
+            failedIds = failed
             canariesPeriod = -1
         }
 
         /** Whether the new target [id] is tried now; in the final shift all are. */
         fun isCanary(id: String, nowMs: Long): Boolean {
             val elapsedMs = elapsedMs(nowMs)
-            if (RolloutSchedule(order.durationMs).isShift(elapsedMs)) return true
+            if (schedule.isShift(elapsedMs)) return true
             val period = elapsedMs / CanarySelection.PERIOD_MS
             if (period != canariesPeriod) {
-                canaries = CanarySelection.select(newIds, oldCount, elapsedMs)
+                val candidates = newIds.filter { it !in failedIds }.ifEmpty { newIds }
+                canaries = CanarySelection.select(candidates, oldCount, elapsedMs)
                 canariesPeriod = period
             }
             return id in canaries
@@ -377,6 +392,9 @@
         /** Two periods of the canaries, so that each window has a whole burst. */
         const val RECENT_MS = 2 * CanarySelection.PERIOD_MS
         const val LATE_FACTOR = 2
+
+        /** As many as are needed at the other targets. */
+        const val FAILURES_TO_TRY_OTHERS = 5
         const val HISTORY_STEP_MS = 500L
 
         /** Two groups of targets have been tried by then, the second in the next period. */
@@ -387,8 +405,5 @@
 
         /** A request that failed at a new target is repeated at once, and should find an old one. */
         const val RETRY_PAUSE_MS = 100L
-
-        /** Two are needed as evidence; more would only take space in messages. */
-        const val MAX_FAILED_TARGETS = 2
     }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicyTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicyTest.kt
@@ -30,6 +30,20 @@
         }
     }
 
+    /** Guards against a good version that is given up because one of its targets hangs. */
+    @Example
+    fun hangingTargetDoesNotMakeAVersionBad() {
+        (1L..SEEDS / 2).forEach { seed ->
+            val fleet = RolloutFleet(78, 20.0, 42, 42, seed = seed) { load ->
+                Response(100, isFailure = load.target == "new0")
+            }
+            fleet.start()
+            fleet.run(53_900)
+            assertThat(fleet.proposals()).`as`("seed $seed")
+                .containsExactly(RolloutDecision.Completed)
+        }
+    }
+
     /** Guards against a version that fails from the start and stays in use. */
     @Example
     fun versionThatIsBadAtOnceIsStopped() {
