--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -91,7 +91,7 @@
     private val peerClient = PeerStateClient(pool, settings.controlAddress.port)
     private val rollouts: RolloutControl? =
         if (HostSettings.ROLLOUT_CONTRACT in settings.contracts) {
-            RolloutControl(settings, control, clock, store, log, metrics) { fleet.rankFor(it) }
+            RolloutControl(settings, control, clock, store, log, metrics) { fleet.liveHosts }
         } else {
             null
         }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -105,11 +105,12 @@
     /** The id of the host that takes over from the aggregator, or an empty string. */
     val backupName: String get() = backup?.value.orEmpty()
 
-    /** The position of this host in the order in which live hosts take over [task]; from 0. */
-    fun rankFor(task: String): Int {
-        val alive = membership.view().filter { it.state == MemberState.ALIVE }.map { it.id }
-        return RendezvousHash.rank(task, alive + self).distinct().indexOf(self)
-    }
+    /** This host among those that are known to be alive. */
+    val liveHosts: LiveHosts
+        get() = LiveHosts(
+            self,
+            membership.view().filter { it.state == MemberState.ALIVE }.map { it.id }
+        )
 
     /** The members with their states, for display. */
     fun memberNames(): List<String> = membership.view().map { "${it.id.value} ${it.state}" }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -195,10 +195,7 @@
 
     /** The failures at a target of a new version. */
     @Serializable
-    data class TargetFailures(
-        @CborLabel(1) val target: String,
-        @CborLabel(2) val count: Long
-    )
+    data class TargetFailures(@CborLabel(1) val target: String, @CborLabel(2) val count: Long)
 
     /** The responses on a route, of the new version or of the others; logarithms are in 1/1000. */
     @Serializable
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/RolloutMessageConversions.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/RolloutMessageConversions.kt
@@ -69,13 +69,12 @@
         )
     }
 
-private fun List<PeerMessage.RouteResponses>.toCounts(): Map<String, VersionCounts> =
-    associate {
-        it.route to VersionCounts(
-            it.ended,
-            it.failures,
-            it.answered,
-            it.lnMilliSum / MILLI,
-            it.lnSquareMilliSum / MILLI
-        )
-    }
+private fun List<PeerMessage.RouteResponses>.toCounts(): Map<String, VersionCounts> = associate {
+    it.route to VersionCounts(
+        it.ended,
+        it.failures,
+        it.answered,
+        it.lnMilliSum / MILLI,
+        it.lnSquareMilliSum / MILLI
+    )
+}
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
@@ -3,6 +3,7 @@
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.forwarding.SendListener
+import org.bronzetide.edge.peer.LiveHosts
 import org.bronzetide.edge.peer.RolloutExchange
 import org.bronzetide.edge.state.StoreLease
 import org.bronzetide.edge.telemetry.DecisionLog
@@ -25,7 +26,7 @@
     private val store: FleetStore,
     private val log: DecisionLog,
     private val metrics: EdgeMetrics,
-    rankFor: (task: String) -> Int
+    liveHosts: () -> LiveHosts
 ) : SendListener {
     private val held = HeldVersions()
     private val policy: RolloutPolicy = RolloutPolicy(
@@ -53,7 +54,7 @@
         policy,
         log,
         metrics,
-        { rankFor("rollout $it") }
+        { liveHosts().rankFor("rollout $it") }
     ) { StoreLease(store, it, settings.nodeName, clock, log, metrics) }
 
     /** Makes [scheduler] ask for the versions that may be used, and registers the gauges. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutDriver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutDriver.kt
@@ -187,7 +187,7 @@
     internal companion object {
         const val STEP_MS = 500L
 
-        /** A lease, its object and a status take three calls to the store, usually well below it. */
+        /** The five calls to the store for a lease and a status usually take well below it. */
         const val RANK_DELAY_MS = 1_500L
 
         /** Bounds the wait of the last of many hosts; by then 20 others have failed. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/StoreStandIn.kt
@@ -107,8 +107,7 @@
 
     /** The present status of an object as JSON, or `null` if it has none. */
     @Synchronized
-    fun status(kind: String, name: String): String? =
-        kinds[kind]?.get(name)?.status?.toString()
+    fun status(kind: String, name: String): String? = kinds[kind]?.get(name)?.status?.toString()
 
     /** Writes what [edit] makes of an object's body. */
     @Synchronized
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutCounts.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutCounts.kt
@@ -60,4 +60,4 @@
 
 /** The sum of all counts. */
 internal fun Collection<VersionCounts>.sum(): VersionCounts =
-    fold(VersionCounts()) { sum, it -> sum + it }
+    fold(VersionCounts(), VersionCounts::plus)
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutJudge.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutJudge.kt
@@ -68,7 +68,10 @@
     }
 
     /** Compares the latencies on routes, weighted by the responses of the new version. */
-    private fun slowness(routes: List<Pair<VersionCounts, VersionCounts>>, limits: Limits): String? {
+    private fun slowness(
+        routes: List<Pair<VersionCounts, VersionCounts>>,
+        limits: Limits
+    ): String? {
         val known = routes.filter { (new, old) ->
             new.answered > 0 && old.answered >= limits.minLatencies
         }
@@ -105,7 +108,7 @@
 
     private companion object {
         /**
-         * Targets of one version differ in speed by 0.55 to 2.8 times the mean, of which the few that
+         * Targets of one version differ in speed by 0.55 to 2.8 times the mean, and the few that
          * are tried at a time may be the slow ones.
          */
         val usual = Limits(
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -102,8 +102,7 @@
     public val orders: List<RolloutOrder> get() = rollouts.values.map { it.order }
 
     /** The time since the order on [service], in milliseconds, or `null` without one. */
-    public fun elapsedMs(service: String, nowMs: Long): Long? =
-        rollouts[service]?.elapsedMs(nowMs)
+    public fun elapsedMs(service: String, nowMs: Long): Long? = rollouts[service]?.elapsedMs(nowMs)
 
     /** The requests that this host has sent to new versions of current orders. */
     public val exposedCount: Long get() = rollouts.values.sumOf { it.budget.exposed }
@@ -403,7 +402,7 @@
         /** A small part of the processor on a host with 100 responses a second. */
         const val JUDGE_INTERVAL_MS = 100L
 
-        /** A request that failed at a new target is repeated at once, and should find an old one. */
+        /** A request that failed at a new target is repeated at once, and must find an old one. */
         const val RETRY_PAUSE_MS = 100L
     }
 }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicyTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicyTest.kt
@@ -179,10 +179,7 @@
         assertThat(allowed).isBetween(1, 50)
     }
 
-    private fun assertStopped(
-        badFromMs: Long = 0,
-        behaviour: (Load) -> Response
-    ): RolloutFleet {
+    private fun assertStopped(badFromMs: Long = 0, behaviour: (Load) -> Response): RolloutFleet {
         var last: RolloutFleet? = null
         (1L..SEEDS).forEach { seed ->
             val fleet = RolloutFleet(8, 2.0, seed = seed, behaviour = behaviour).apply { start() }
