--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -38,6 +38,9 @@
      */
     public var hostCount: Int by fleet::hostCount
 
+    /** Whether a target may get the next request, by its version; asked only of free targets. */
+    public var isVersionAllowed: (FleetTarget) -> Boolean = { true }
+
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -360,7 +363,7 @@
         val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
             others.takeUnless { usesOwnShare(ticket.service, rank, it, counts, nowMs) }.orEmpty()
         val reserved = fleet.reservedSlots(ticket.service, rank, usable)
-        val candidates = free.filter { counts.isFree(it, reserved) }
+        val candidates = free.filter { counts.isFree(it, reserved) && isVersionAllowed(it.spec) }
         if (candidates.isEmpty()) return Placement.NoneFree
         val suitable = candidates.filter { selector.canEndInTime(it, ticket, nowMs) }
         // A faster target may become free while the ticket can still wait for it.
