--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/CallerOutput.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/CallerOutput.kt
@@ -77,7 +77,8 @@
         held?.awaitRoom(chunk)
         // The caller may have taken everything meanwhile.
         val held = held
-        if (held != null) held.add(chunk) else if (!caller.trySendChunk(chunk)) startHolding()
+        if (held != null) return held.add(chunk)
+        if (!caller.trySendChunk(chunk)) startHolding()
     }
 
     /**
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ResponseMemoryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ResponseMemoryTest.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge
 
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.nio.file.Files
@@ -58,6 +59,37 @@
         repeat(30) { write("X-$it: " + "x".repeat(4_000) + "\r\n") }
     }
 
+    @Example
+    fun streamsThatCallersDoNotReadLeaveMemoryForOthers() {
+        startTargets {
+            write("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+            val event = "data: " + "x".repeat(0x3FF8) + "\n\n"
+            repeat(750) { write("4000\r\n$event\r\n") }
+        }
+        environment.writeManifest(routes = ROUTES)
+        node.start()
+        await { runCatching { statusOf("/sound/") == 200 }.getOrDefault(false) }
+        val slow = List(SLOW_CALLERS) {
+            Socket().apply {
+                receiveBufferSize = SMALL_BUFFER_BYTES
+                connect(InetSocketAddress(IP, ports.callers))
+                getOutputStream().write(request("/once/").encodeToByteArray())
+            }
+        }
+        repeat(30) {
+            assertThat(statusOf("/sound/")).isEqualTo(200)
+            Thread.sleep(50)
+        }
+        await { "\"event\":\"caller cut\"" in log() }
+        assertThat(statusOf("/sound/")).isEqualTo(200)
+        assertThat(node.isRunning).isTrue()
+        assertThat(log()).doesNotContain("OutOfMemoryError")
+        slow.forEach { it.close() }
+    }
+
+    private fun log(): String =
+        directory.listFiles { file -> file.extension == "log" }!!.single().readText()
+
     private fun assertThatOthersAreServed(path: String, respond: Socket.() -> Unit) {
         startTargets(respond)
         environment.writeManifest(routes = ROUTES)
@@ -68,8 +100,7 @@
         repeat(30) { assertThat(statusOf("/sound/")).isEqualTo(200) }
         large.forEach { it.get(20, TimeUnit.SECONDS) }
         assertThat(node.isRunning).isTrue()
-        val log = directory.listFiles { file -> file.extension == "log" }!!.single().readText()
-        assertThat(log).doesNotContain("OutOfMemoryError")
+        assertThat(log()).doesNotContain("OutOfMemoryError")
         assertThat(statusOf("/sound/")).isEqualTo(200)
     }
 
@@ -102,13 +133,15 @@
     /** The status of a response that is read to its end, or 0 if its connection ends before. */
     private fun statusOf(path: String): Int = Socket(IP, ports.callers).use { socket ->
         socket.soTimeout = 15_000
-        val head = "POST $path HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\n" +
-            "Request-Id: ${System.nanoTime()}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-        socket.getOutputStream().write(head.encodeToByteArray())
+        socket.getOutputStream().write(request(path).encodeToByteArray())
         val response = runCatching { socket.getInputStream().readBytes() }.getOrNull()
         response?.decodeToString()?.split(' ')?.getOrNull(1)?.toIntOrNull() ?: 0
     }
 
+    private fun request(path: String) =
+        "POST $path HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key-1\r\n" +
+            "Request-Id: ${System.nanoTime()}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
     private fun await(condition: () -> Boolean) {
         val endNs = System.nanoTime() + 20_000_000_000
         while (!condition()) {
@@ -122,6 +155,10 @@
     private companion object {
         const val IP = "127.0.1.9"
         const val CALLERS = 120
+
+        /** With more, the sockets on loopback, some 2 MB each, are not full before the deadline. */
+        const val SLOW_CALLERS = 12
+        const val SMALL_BUFFER_BYTES = 2_048
         const val ROUTES = EdgeTestEnvironment.ROUTES + """,
             {"name":"sound","host":"h.example","path_prefix":"/sound/","kind":"idempotent",
               "timeout_ms":2000,"target_latency_ms":100,"priority":1,"service":"sound",
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SlowReaderTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SlowReaderTest.kt
@@ -228,11 +228,7 @@
     private data class Received(val events: Int, val hasEnd: Boolean)
 
     /** Reads a stream to its end, with a pause of [pauseMs] after each [pauseBytes] bytes. */
-    private fun read(
-        socket: Socket,
-        pauseMs: Long = 0,
-        pauseBytes: Int = Int.MAX_VALUE
-    ): Received {
+    private fun read(socket: Socket, pauseMs: Long = 0, pauseBytes: Int = NEVER): Received {
         val bytes = ByteArrayOutputStream()
         val part = ByteArray(65_536)
         var pauses = 1
@@ -274,6 +270,7 @@
         const val SLOTS = 20
         const val EVENTS = 1_500
         const val HALF = 750
+        const val NEVER = Int.MAX_VALUE
         const val LARGE_ANSWER_BYTES = 4_000_000
         const val SMALL_BUFFER_BYTES = 2_048
         const val LARGE = 100_000_000L
