--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -47,6 +47,10 @@
     fun onInvalidResponse(fault: String) = Counter.builder("bronzetide.edge.invalid.responses")
         .tag("fault", fault).register(registry).increment()
 
+    /** Counts a caller that was cut as it read too slowly, by the limit that was reached. */
+    fun onCallerCut(limit: String) = Counter.builder("bronzetide.edge.callers.cut")
+        .tag("limit", limit).register(registry).increment()
+
     /** Counts a failed call to the store. */
     fun onStoreFailure() =
         Counter.builder("bronzetide.edge.store.failures").register(registry).increment()
