FleetScheduler: hasSpareSlot tells whether an extra run would take a slot from others

A second run of a request must not be sent while requests of its service wait. Nothing told that from outside the scheduler. A service with limited targets has none to spare, as permits are few. FleetSchedulerTest passes with two new tests.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -116,6 +116,23 @@
         targets.values.map { it.spec.service }.distinct()
             .associateWith { ownDemand(it, nowMs) }.filterValues { it.isNotEmpty() }
 
+    /**
+     * Whether [service] has capacity to spare at [nowMs]: the requests of all hosts, as last
+     * reported, are fewer than its slots, none of this host waits, and a target not in [avoid] has
+     * a free slot. A service with targets that limit their requests per second has none to spare.
+     */
+    public fun hasSpareSlot(service: String, avoid: Set<String>, nowMs: Long): Boolean {
+        if (waiting.count(service) > 0) return false
+        val usable = targets.values.inService(service).usable(nowMs)
+        if (usable.any { limits.perSecond(it.spec.ref) != null }) return false
+        val demand = running.values.count { it.ticket.service == service } +
+            peerDemands[service]?.values.orEmpty().sum()
+        if (demand >= usable.sumOf { it.spec.slots }) return false
+        return usable.any {
+            it.spec.id !in avoid && !it.isSuspectedByPeers && it.count < it.spec.slots
+        }
+    }
+
     /** Replaces the demands of all other hosts together, by service and rank. */
     public fun updatePeerDemands(demands: Map<String, Map<Int, Int>>) {
         peerDemands = demands
@@ -309,7 +326,7 @@
         val candidates = free.filter { it.count < it.spec.slots }
         val untried = candidates.filter { it.spec.id !in ticket.avoid }.ifEmpty { candidates }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
-        return sampleOf(unsuspected).minByOrNull { score(it, ticket, nowMs) }
+        return unsuspected.sample(hostCount, random).minByOrNull { score(it, ticket, nowMs) }
     }
 
     /**
@@ -339,14 +356,6 @@
         return demand
     }
 
-    /** A random sample if there are many hosts, which would else all choose the same target. */
-    private fun sampleOf(candidates: List<TargetLoad>): List<TargetLoad> =
-        if (hostCount <= MAX_SMALL_FLEET_HOSTS || candidates.size <= SAMPLE_SIZE) {
-            candidates
-        } else {
-            candidates.shuffled(random).take(SAMPLE_SIZE)
-        }
-
     /**
      * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
      * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
@@ -424,10 +433,6 @@
     }
 
     private companion object {
-        /** Up to this many hosts, known loads are recent enough to choose the best target. */
-        const val MAX_SMALL_FLEET_HOSTS = 16
-        const val SAMPLE_SIZE = 4
-
         /** Lets a host that holds its share use a slot that no host with a smaller one takes. */
         const val SHARE_MARGIN_SLOTS = 0.5
         const val OTHER_ZONE_MS = 2.0
@@ -436,6 +441,18 @@
     }
 }
 
+/** Up to this many hosts, known loads are recent enough to choose the best target. */
+private const val MAX_SMALL_FLEET_HOSTS = 16
+private const val SAMPLE_SIZE = 4
+
+/** A random sample if there are many hosts, which would else all choose the same target. */
+private fun List<TargetLoad>.sample(hostCount: Int, random: Random): List<TargetLoad> =
+    if (hostCount <= MAX_SMALL_FLEET_HOSTS || size <= SAMPLE_SIZE) {
+        this
+    } else {
+        shuffled(random).take(SAMPLE_SIZE)
+    }
+
 /** At most half of the targets of a service may be ejected at once. */
 private const val MAX_EJECTED_DIVISOR = 2
 
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -318,6 +318,37 @@
         assertThat(sent.keys).containsExactly(1L, 2L, 3L)
     }
 
+    /** Guards against extra runs that take slots from requests which wait, here or elsewhere. */
+    @Example
+    fun serviceHasASpareSlotOnlyWhileNoRequestWaitsAndAnotherTargetIsFree() {
+        scheduler.updateTargets(listOf(target("t1", slots = 1), target("t2", slots = 1)))
+        fun hasSpareSlot(vararg avoid: String) = scheduler.hasSpareSlot("model", avoid.toSet(), 0)
+        enroll(1)
+        val used = (sent.getValue(1) as FleetDecision.Send).targetId
+        assertThat(hasSpareSlot(used)).isTrue()
+        assertThat(hasSpareSlot("t1", "t2")).isFalse()
+        scheduler.updatePeerDemands(mapOf("model" to mapOf(1 to 1)))
+        assertThat(hasSpareSlot(used)).isFalse()
+        scheduler.updatePeerDemands(emptyMap())
+        enroll(2)
+        assertThat(hasSpareSlot()).isFalse()
+        enroll(3)
+        scheduler.updateTargets(List(3) { target("t${it + 1}", slots = 2) })
+        assertThat(hasSpareSlot()).isFalse()
+        scheduler.withdraw(3)
+        assertThat(hasSpareSlot()).isTrue()
+    }
+
+    /** A limited target hands out few permits, which must be left to first runs. */
+    @Example
+    fun serviceWithALimitedTargetHasNoSpareSlot() {
+        scheduler.updateTargets(listOf(target("t1"), target("t2")))
+        enroll(1)
+        assertThat(scheduler.hasSpareSlot("model", emptySet(), 0)).isTrue()
+        scheduler.onLimit(1, 5.0, 0)
+        assertThat(scheduler.hasSpareSlot("model", emptySet(), 0)).isFalse()
+    }
+
     private class FailingRandom : Random() {
         var remainingCalls = Int.MAX_VALUE
         private val values = Random(1)
