HttpConnection: awaitInput waits for bytes without reading them

A run that is to take over from another one must have begun its body, which could only be found out by consuming it.

--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/HttpConnection.kt
@@ -91,6 +91,14 @@
         }
     }
 
+    /**
+     * Suspends until the server has sent bytes that were not read yet, and returns whether it has;
+     * `false` means that it has closed the connection.
+     *
+     * @throws IOException if the connection breaks.
+     */
+    public suspend fun awaitInput(): Boolean = input.awaitContent()
+
     override fun close() {
         input.cancel(null)
         socket.close()
