RequestForwarder: send a slow request to a second target, and cancel the loser

A slow target kept its requests until it counted as silent, twice the route's latency or later. StallPolicy.FailOver gets a hedge, which is tried once before that time by the same code as the replacement of a silent target: if it responds first, it takes over and the first run's connection is closed; otherwise it is cancelled. A hedge never waits in the queue, takes over only when bytes of its body have arrived, and counts for max_attempts. A loser does not count as a failure of its target. Both runs are logged with their outcome (hedged run), and hedges are counted. Hedging is off, as no caller sets a share yet.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -14,6 +14,9 @@
 import org.bronzetide.scheduling.fleet.FleetDecision
 import org.bronzetide.scheduling.fleet.FleetOutcome
 import org.bronzetide.scheduling.fleet.FleetTicket
+import org.bronzetide.scheduling.fleet.HedgingDecision
+import org.bronzetide.scheduling.fleet.HedgingPolicy
+import org.bronzetide.scheduling.fleet.HedgingShare
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /** The status of the response that a caller received, with the reason for it. */
@@ -43,7 +46,8 @@
     private val findTarget: (String) -> TargetEntry?,
     private val log: DecisionLog,
     private val metrics: EdgeMetrics,
-    private val processEnd: ProcessEnd = ProcessEnd()
+    private val processEnd: ProcessEnd = ProcessEnd(),
+    private val hedging: HedgingPolicy = HedgingPolicy(HedgingShare.OFF)
 ) {
     /**
      * Forwards [call] and writes the response to [caller]. The session cancels this when the caller
@@ -76,6 +80,7 @@
             client.memory.events,
             onFirstEvent = {
                 scheduler.onFirstEvent(ticketSequence)
+                recordWait(this)
                 metrics.onFirstEvent(call.priority, clock.nowMs() - call.arrivedAtMs)
             },
             onEventInterval = { scheduler.onEventInterval(ticketSequence, it) }
@@ -91,6 +96,10 @@
         /** The target of the current send. */
         var currentTargetId: String? = null
 
+        /** When the current send was made, until it has responded or another run took over. */
+        var waitingSinceMs: Long? = null
+        var isHedged = false
+
         /** A run at another target that takes over from a silent one. */
         var replacement: Replacement? = null
 
@@ -105,6 +114,7 @@
 
     private suspend fun runAttempts(state: State) {
         retryBudget.onRequest(state.call.service, clock.nowMs())
+        hedging.onRequest(state.call.service)
         while (true) {
             val result = when (val decision = awaitDecision(state)) {
                 is FleetDecision.Refuse -> {
@@ -193,7 +203,7 @@
             // The slot may be that of a request that was just ended, as this one is about to be.
             if (processEnd.isReached) return SendResult.NotRun("the process ends")
             onSend(state, decision)
-            val policy = stallPolicy(state, decision.firstEventMs)
+            val policy = stallPolicy(state, decision.firstEventMs, Hedge(state, targetId))
             isSlotInUse = true
             val run = state.call.runs.Run()
             return awaitAttempt(state, targetId, run) { attempt(state, target, policy, run) }
@@ -212,11 +222,21 @@
         return when (beginning) {
             is TargetClient.Beginning.Ended -> beginning.attempt
 
-            is TargetClient.Beginning.Responding ->
+            is TargetClient.Beginning.Responding -> {
+                if (beginning.isSuccess && !state.call.isStreaming) recordWait(state)
                 client.complete(state.call, beginning, state.relay, policy, state.bodies)
+            }
         }
     }
 
+    /** Tells the hedging policy how long the current send has been waited for. */
+    private fun recordWait(state: State) {
+        val sinceMs = state.waitingSinceMs ?: return
+        state.waitingSinceMs = null
+        val call = state.call
+        hedging.onFirstEvent(call.service, call.promptTokens, clock.nowMs() - sinceMs)
+    }
+
     /** Completes the run that has replaced one at a silent target. */
     private suspend fun complete(
         state: State,
@@ -249,7 +269,10 @@
         private val ticketSequence: Long,
         private val run: RunRecord.Run
     ) : TargetClient.Observer {
-        override fun onSend() = run.onSend()
+        override fun onSend() {
+            run.onSend()
+            if (ticketSequence == state.ticketSequence) state.waitingSinceMs = clock.nowMs()
+        }
 
         override fun onReport(report: TargetReport) {
             scheduler.onReport(ticketSequence, report)
@@ -293,11 +316,18 @@
         } finally {
             scheduler.release(state.ticketSequence, outcome, msPerEvent)
         }
-        if (outcome != FleetOutcome.ANSWERED) onSendFailed(state, targetId, outcome, result)
+        when (outcome) {
+            FleetOutcome.ANSWERED -> Unit
+
+            // The run was slower than its hedge, which is not a failure.
+            FleetOutcome.CANCELLED -> state.avoid += targetId
+
+            else -> onSendFailed(state, targetId, outcome, result)
+        }
         return result
     }
 
-    private fun onSend(state: State, decision: FleetDecision.Send, replacedTarget: String? = null) {
+    private fun onSend(state: State, decision: FleetDecision.Send, firstRun: FirstRun? = null) {
         val call = state.call
         state.sends++
         log.request(
@@ -307,7 +337,9 @@
             "timeLeftMs" to call.deadlineAtMs - clock.nowMs(),
             "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
             "predictedMs" to decision.firstEventMs, "promptTokens" to call.metadata.promptTokens,
-            "resumesAfter" to state.relay.lastEventId, "whileSilent" to replacedTarget
+            "resumesAfter" to state.relay.lastEventId,
+            "whileSilent" to firstRun?.targetId?.takeUnless { firstRun.isHedged },
+            "hedges" to firstRun?.targetId?.takeIf { firstRun.isHedged }
         )
     }
 
@@ -322,13 +354,32 @@
         val current = state.currentTargetId
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
         val decision = scheduler.awaitDecision(ticket) as? FleetDecision.Send ?: return false
+        return runReplacement(state, ticket, decision, FirstRun(current, isHedged = false))
+    }
+
+    /** The run that a replacement is sent beside. */
+    private class FirstRun(
+        val targetId: String?,
+        /** Whether the replacement is a hedge. */
+        val isHedged: Boolean
+    )
+
+    /** Sends the request with [ticket] while [firstRun] is in progress, as [tryReplace] does. */
+    private suspend fun runReplacement(
+        state: State,
+        ticket: FleetTicket,
+        decision: FleetDecision.Send,
+        firstRun: FirstRun
+    ): Boolean {
+        val call = state.call
         var outcome = FleetOutcome.UNSENT
         var mayHaveRun = true
         val run = call.runs.Run()
         try {
             // A second run at the silent target would not help.
-            val target = findTarget(decision.targetId)?.takeIf { it.id != current } ?: return false
-            onSend(state, decision, current)
+            val target = findTarget(decision.targetId)?.takeIf { it.id != firstRun.targetId }
+                ?: return false
+            onSend(state, decision, firstRun)
             outcome = FleetOutcome.CANCELLED
             val policy = StallPolicy.WaitUntilDeadline
             val beginning = begin(state, target, ticket.sequence, policy, run)
@@ -340,24 +391,92 @@
                     onSendFailed(state, target.id, outcome, attempt.result)
                 }
 
-                is TargetClient.Beginning.Responding -> if (beginning.isSuccess) {
-                    state.replacement = Replacement(ticket.sequence, beginning)
-                } else {
+                is TargetClient.Beginning.Responding -> if (!beginning.isSuccess) {
                     beginning.close()
                     outcome = FleetOutcome.ERROR
                     val result =
                         SendResult.MayHaveRun("no success, ${beginning.response.status}")
                     onSendFailed(state, target.id, outcome, result)
+                } else if (firstRun.isHedged && call.isStreaming && !beginning.awaitBody()) {
+                    outcome = FleetOutcome.FAILED
+                    val result = SendResult.MayHaveRun("broke off before an event")
+                    onSendFailed(state, target.id, outcome, result)
+                } else {
+                    recordWait(state)
+                    state.replacement = Replacement(ticket.sequence, beginning)
                 }
             }
             return state.replacement != null
         } finally {
+            if (firstRun.isHedged) logHedge(state, decision.targetId, outcome)
             // A replacement's run begins anew when it takes over from the silent one's.
             run.onEnd(mayHaveRun && state.replacement == null)
             if (state.replacement == null) scheduler.release(ticket.sequence, outcome)
         }
     }
 
+    /** The hedge of the send of a request to [targetId]; there is one hedge for each request. */
+    private inner class Hedge(private val state: State, private val targetId: String) :
+        StallPolicy.Hedge {
+        private val call = state.call
+        private var isSent = false
+
+        override fun dueInMs(): Long? {
+            if (state.isHedged) return null
+            val sinceMs = state.waitingSinceMs ?: return null
+            val afterMs = hedging.hedgeAfterMs(call.service, call.promptTokens) ?: return null
+            return afterMs - (clock.nowMs() - sinceMs)
+        }
+
+        override suspend fun run(): Boolean {
+            state.isHedged = true
+            if (isLastRun(state)) return false
+            // Most requests that are due for a hedge end here, without work on the control thread.
+            if (!hedging.hasHedge(call.service)) return skip(HedgingDecision.SHARE_USED_UP)
+            val ticket = newTicket(state, state.avoid + targetId)
+            val decision = scheduler.trySend(ticket)
+            val hedgingDecision = hedging.decide(call.service, decision != null) {
+                retryBudget.tryRetry(call.service, clock.nowMs())
+            }
+            if (decision == null) return skip(hedgingDecision)
+            if (hedgingDecision != HedgingDecision.SEND) {
+                scheduler.release(ticket.sequence, FleetOutcome.UNSENT)
+                return skip(hedgingDecision)
+            }
+            isSent = true
+            return runReplacement(state, ticket, decision, FirstRun(targetId, isHedged = true))
+        }
+
+        override fun onFirstRun(outcome: RunOutcome) {
+            if (isSent) logRun(state, "first", targetId, outcome)
+        }
+
+        private fun skip(decision: HedgingDecision): Boolean {
+            metrics.onHedge(decision.name)
+            return false
+        }
+    }
+
+    private fun logHedge(state: State, targetId: String, outcome: FleetOutcome) {
+        val runOutcome = when {
+            state.replacement != null -> RunOutcome.RESPONDED
+            outcome == FleetOutcome.CANCELLED -> RunOutcome.CANCELLED
+            else -> RunOutcome.FAILED
+        }
+        metrics.onHedge(runOutcome.name)
+        logRun(state, "hedge", targetId, runOutcome)
+    }
+
+    private fun logRun(state: State, run: String, targetId: String, outcome: RunOutcome) =
+        log.request(
+            "hedged run",
+            state.call.requestId,
+            "run" to run,
+            "target" to targetId,
+            "outcome" to outcome.name,
+            "afterMs" to clock.nowMs() - state.call.arrivedAtMs
+        )
+
     /** Whether no run may be added to the current one. */
     private fun isLastRun(state: State): Boolean =
         state.call.runs.possibleCount + 1 >= state.call.route.maxAttempts ||
@@ -407,7 +526,11 @@
         return isAllowed
     }
 
-    private fun stallPolicy(state: State, predictedMs: Long): StallPolicy {
+    private fun stallPolicy(
+        state: State,
+        predictedMs: Long,
+        hedge: StallPolicy.Hedge? = null
+    ): StallPolicy {
         val call = state.call
         if (!call.route.kind.isSafeToRetry || isLastRun(state)) return StallPolicy.WaitUntilDeadline
         val eventIntervalMs = (call.route.kind as? RouteKind.Streaming)?.maxEventIntervalMs ?: 0
@@ -418,7 +541,8 @@
         )
         return StallPolicy.FailOver(
             firstEventTimeoutMs,
-            maxOf(eventIntervalMs * STALL_EVENT_INTERVAL_FACTOR, MIN_STALL_TIMEOUT_MS)
+            maxOf(eventIntervalMs * STALL_EVENT_INTERVAL_FACTOR, MIN_STALL_TIMEOUT_MS),
+            hedge.takeIf { hedging.isEnabled }
         ) { tryReplace(state) }
     }
 
@@ -506,6 +630,9 @@
         fun failureHeaders(requestId: String?): List<Header> =
             listOfNotNull(requestId?.let { Header(PlatformHeaders.REQUEST_ID, it) })
 
+        private val Call.promptTokens: Int get() = metadata.promptTokens ?: 0
+        private val Call.isStreaming: Boolean get() = route.kind is RouteKind.Streaming
+
         /**
          * Returns the headers of a refusal, which guarantees that the request did not run.
          * [retryAfterMs] is written in seconds.
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.forwarding
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.platform.fleet.StatedLimit
@@ -40,15 +41,38 @@
                 scheduleDecision()
             }
         }
-        try {
-            return result.await()
-        } catch (cause: Throwable) {
-            control.post {
-                scheduler.withdraw(ticket.sequence)
-                scheduler.release(ticket.sequence, FleetOutcome.UNSENT, clock.nowMs())
+        return awaitOrWithdraw(ticket, result)
+    }
+
+    /**
+     * Returns the decision to send [ticket] at once, or `null` if its service has no slot to spare.
+     * The ticket does not wait. If this is cancelled, a slot that was already granted is released.
+     */
+    suspend fun trySend(ticket: FleetTicket): FleetDecision.Send? {
+        val result = CompletableDeferred<FleetDecision?>()
+        control.post {
+            val nowMs = clock.nowMs()
+            try {
+                if (scheduler.hasSpareSlot(ticket.service, ticket.avoid, nowMs)) {
+                    scheduler.enroll(ticket, nowMs) { result.complete(it) }
+                    scheduler.withdraw(ticket.sequence)
+                }
+                result.complete(null)
+            } catch (cause: Throwable) {
+                if (!result.completeExceptionally(cause)) throw cause
             }
-            throw cause
         }
+        return awaitOrWithdraw(ticket, result) as? FleetDecision.Send
+    }
+
+    private suspend fun <T> awaitOrWithdraw(ticket: FleetTicket, result: Deferred<T>): T = try {
+        result.await()
+    } catch (cause: Throwable) {
+        control.post {
+            scheduler.withdraw(ticket.sequence)
+            scheduler.release(ticket.sequence, FleetOutcome.UNSENT, clock.nowMs())
+        }
+        throw cause
     }
 
     /** Reports that the first event for the ticket with [sequence] has arrived. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/TargetClient.kt
@@ -54,6 +54,22 @@
             /** Whether the response is a success, and the target's own. */
             val isSuccess: Boolean get() = response.isSuccess && response.isSigned
 
+            /**
+             * Waits until the body has begun to arrive and returns whether it has; closes the
+             * connection otherwise.
+             */
+            suspend fun awaitBody(): Boolean {
+                var hasBegun = false
+                try {
+                    hasBegun = connection.awaitInput()
+                } catch (_: IOException) {
+                    // The same as an end without a body.
+                } finally {
+                    if (!hasBegun) close()
+                }
+                return hasBegun
+            }
+
             override fun close() = connection.close()
         }
 
@@ -168,7 +184,9 @@
 
     private suspend fun brokenOff(target: TargetEntry, cause: IOException): Attempt {
         if (cause is TargetStalledException && cause.failure == null) {
-            return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), FleetOutcome.FAILED)
+            // That a target is slower than another one does not count against it.
+            val outcome = if (cause.isHedged) FleetOutcome.CANCELLED else FleetOutcome.FAILED
+            return Attempt(SendResult.MayHaveRun(cause.message.orEmpty()), outcome)
         }
         pool.evict(target.address.host, target.address.port)
         return Attempt(
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -35,6 +35,10 @@
     fun onFailedSend(outcome: String) = Counter.builder("bronzetide.edge.failed.sends")
         .tag("outcome", outcome).register(registry).increment()
 
+    /** Counts a request that was due for a hedge, by what became of the hedge. */
+    fun onHedge(outcome: String) = Counter.builder("bronzetide.edge.hedges")
+        .tag("outcome", outcome).register(registry).increment()
+
     /** Counts a response in which a target wants no requests for a while. */
     fun onTargetRest() =
         Counter.builder("bronzetide.edge.target.rests").register(registry).increment()
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapterTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapterTest.kt
@@ -43,6 +43,22 @@
         }
     }
 
+    /** Guards against extra runs that wait in the queue, where they would delay first runs. */
+    @Example
+    fun ticketThatMustBeSentAtOnceNeverWaits() = ControlLoop(clock).use { control ->
+        scheduler.updateTargets(
+            listOf(FleetTarget("t1", "s", "z1", slots = 2, isLeaving = false, isEngine = false))
+        )
+        val adapter = SchedulerAdapter(control, clock, scheduler)
+        runBlocking {
+            val decisions = (1L..3L).map { adapter.trySend(ticket(it, startByMs = 100)) }
+            assertThat(decisions)
+                .containsExactly(FleetDecision.Send("t1"), FleetDecision.Send("t1"), null)
+        }
+        assertThat(scheduler.waitingCount).isZero()
+        assertThat(scheduler.runningCount).isEqualTo(2)
+    }
+
     private fun ticket(sequence: Long, startByMs: Long) =
         FleetTicket(sequence, "s", priority = 1, 0, 0, dueAtMs = startByMs, startByMs)
 }
