--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -13,10 +13,12 @@
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SettingsException
+import org.bronzetide.scheduling.fleet.HedgingShare
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 
 private const val EXIT_INVALID_SETTINGS = 2
+private const val HEDGING_SHARE = "--hedging-share"
 private const val ARCHIVE_WARM_UP_REQUESTS = 200
 private const val ARCHIVE_WARM_UP_LIMIT_MS = 20_000L
 
@@ -27,6 +29,9 @@
  * Runs the process of an entry host with the settings file that the environment variable
  * [HostSettings.FILE_VARIABLE] names.
  *
+ * `--hedging-share=N` lets the share N of each service's requests, from 0 to 1, be sent to a second
+ * target while the first one is slow; it is 0 by default.
+ *
  * `--check` only validates the settings. `--rehearse` runs a [WarmUp] and a [StartRehearsal] and
  * exits, so that the build can record the loaded classes in the class-data archive.
  *
@@ -38,9 +43,11 @@
     // Installed before anything else, because an unhandled SIGHUP terminates the JVM.
     Signal.handle(Signal("HUP")) { current.get()?.let { reload(it) } }
     if ("--rehearse" in arguments) return warmUp()
-    val settings = readSettings(settingsPath()) ?: exitProcess(EXIT_INVALID_SETTINGS)
+    val settings = readSettings(settingsPath())
+    val hedgingShare = readHedgingShare(arguments)
+    if (settings == null || hedgingShare == null) exitProcess(EXIT_INVALID_SETTINGS)
     if ("--check" in arguments) return
-    val node = EdgeNode(settings)
+    val node = EdgeNode(settings, hedgingShare)
     current.set(node)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
@@ -70,6 +77,23 @@
     }
 }
 
+/**
+ * Reads the share of requests that may be hedged; reports an invalid one on standard error and
+ * returns `null` then.
+ */
+internal fun readHedgingShare(arguments: Array<String>): HedgingShare? {
+    val given = arguments.filter { it.substringBefore('=') == HEDGING_SHARE }
+    if (given.isEmpty()) return HedgingShare.OFF
+    val share = given.singleOrNull()?.substringAfter('=', "")?.let(HedgingShare::parseOrNull)
+    if (share == null) {
+        System.err.println(
+            "arguments: $HEDGING_SHARE must be given once with a decimal number from 0 to 1, " +
+                "as in $HEDGING_SHARE=0.02, not '${given.joinToString(" ")}'"
+        )
+    }
+    return share
+}
+
 /** Reads the settings at [path]; reports errors on standard error and returns `null` then. */
 internal fun readSettings(path: String?): HostSettings? = try {
     if (path == null) {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -52,6 +52,8 @@
 import org.bronzetide.platform.fleet.TargetEntry
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.HedgingPolicy
+import org.bronzetide.scheduling.fleet.HedgingShare
 import org.bronzetide.scheduling.fleet.QuotaLimiter
 import org.bronzetide.scheduling.fleet.TargetRef
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
@@ -59,7 +61,10 @@
 /**
  * The process of one entry host: accepts requests from callers and forwards them to targets.
  */
-public class EdgeNode(private val settings: HostSettings) : AutoCloseable {
+public class EdgeNode(
+    private val settings: HostSettings,
+    hedgingShare: HedgingShare = HedgingShare.OFF
+) : AutoCloseable {
     private val clock = MonotonicClock.System
     private val log = DecisionLog(clock)
     private val metrics = EdgeMetrics()
@@ -135,7 +140,8 @@
         { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
         log,
         metrics,
-        processEnd
+        processEnd,
+        HedgingPolicy(hedgingShare)
     )
     private val sessionDependencies = CallerSession.Dependencies(
         clock,
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -17,14 +17,18 @@
 import org.bronzetide.http.OutgoingRequest
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
+import org.bronzetide.scheduling.fleet.HedgingShare
 
 /** One edge node with stand-ins for the store and the targets, all on loopback. */
-class EdgeTestEnvironment(bounds: String = "bounds.retry_slack=56") : AutoCloseable {
+class EdgeTestEnvironment(
+    bounds: String = "bounds.retry_slack=56",
+    hedgingShare: HedgingShare = HedgingShare.OFF
+) : AutoCloseable {
     val store = StoreStandIn()
     val loop = TrafficLoop()
     val pool = ConnectionPool(loop, MonotonicClock.System)
     val settings = settings(store.port, bounds = bounds)
-    val node = EdgeNode(settings)
+    val node = EdgeNode(settings, hedgingShare)
     private val servers = ArrayList<AutoCloseable>()
 
     /** The requests that reached targets, in order. */
