--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.forwarding
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.platform.fleet.StatedLimit
@@ -40,10 +41,7 @@
         control.post {
             try {
                 scheduler.enroll(ticket, clock.nowMs()) {
-                    if (it is FleetDecision.Send) {
-                        val (sequence, service) = ticket
-                        listener?.onSend(sequence, service, route, it.targetId, isFirst)
-                    }
+                    notifyOfSend(ticket, it, route, isFirst)
                     result.complete(it)
                 }
             } catch (cause: Throwable) {
@@ -53,17 +51,53 @@
                 scheduleDecision()
             }
         }
-        try {
-            return result.await()
-        } catch (cause: Throwable) {
-            control.post {
-                scheduler.withdraw(ticket.sequence)
-                val nowMs = clock.nowMs()
-                scheduler.release(ticket.sequence, FleetOutcome.UNSENT, nowMs)
-                listener?.onEnd(ticket.sequence, FleetOutcome.UNSENT, nowMs)
+        return awaitOrWithdraw(ticket, result)
+    }
+
+    /**
+     * Returns the decision to send [ticket] at once, or `null` if its service has no slot to spare.
+     * The ticket does not wait. If this is cancelled, a slot that was already granted is released.
+     */
+    suspend fun trySend(ticket: FleetTicket, route: String = ""): FleetDecision.Send? {
+        val result = CompletableDeferred<FleetDecision?>()
+        control.post {
+            val nowMs = clock.nowMs()
+            try {
+                if (scheduler.hasSpareSlot(ticket.service, ticket.avoid, nowMs)) {
+                    scheduler.enroll(ticket, nowMs) {
+                        notifyOfSend(ticket, it, route, isFirst = false)
+                        result.complete(it)
+                    }
+                    scheduler.withdraw(ticket.sequence)
+                }
+                result.complete(null)
+            } catch (cause: Throwable) {
+                if (!result.completeExceptionally(cause)) throw cause
             }
-            throw cause
         }
+        return awaitOrWithdraw(ticket, result) as? FleetDecision.Send
+    }
+
+    private suspend fun <T> awaitOrWithdraw(ticket: FleetTicket, result: Deferred<T>): T = try {
+        result.await()
+    } catch (cause: Throwable) {
+        control.post {
+            scheduler.withdraw(ticket.sequence)
+            val nowMs = clock.nowMs()
+            scheduler.release(ticket.sequence, FleetOutcome.UNSENT, nowMs)
+            listener?.onEnd(ticket.sequence, FleetOutcome.UNSENT, nowMs)
+        }
+        throw cause
+    }
+
+    private fun notifyOfSend(
+        ticket: FleetTicket,
+        decision: FleetDecision,
+        route: String,
+        isFirst: Boolean
+    ) {
+        if (decision !is FleetDecision.Send) return
+        listener?.onSend(ticket.sequence, ticket.service, route, decision.targetId, isFirst)
     }
 
     /** Reports that the first event for the ticket with [sequence] has arrived. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -130,6 +130,23 @@
         targets.values.map { it.spec.service }.distinct()
             .associateWith { ownDemand(it, nowMs) }.filterValues { it.isNotEmpty() }
 
+    /**
+     * Whether [service] has capacity to spare at [nowMs]: the requests of all hosts, as last
+     * reported, are fewer than its slots, none of this host waits, and a target not in [avoid] has
+     * a free slot. A service with targets that limit their requests per second has none to spare.
+     */
+    public fun hasSpareSlot(service: String, avoid: Set<String>, nowMs: Long): Boolean {
+        if (waiting.count(service) > 0) return false
+        val usable = activeTargets[service].orEmpty().usable(nowMs)
+        if (usable.any { limits.perSecond(it.spec.ref) != null }) return false
+        val demand = running.values.count { it.ticket.service == service } +
+            fleet.demands[service]?.values.orEmpty().sum()
+        if (demand >= usable.sumOf { it.spec.slots }) return false
+        return usable.any {
+            it.spec.id !in avoid && !it.isSuspectedByPeers && it.count < it.spec.slots
+        }
+    }
+
     /** Replaces the demands of all other hosts together, by service and rank. */
     public fun updatePeerDemands(demands: Map<String, Map<Int, Int>>) {
         fleet.onDemands(demands)
