--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -380,7 +380,7 @@
         val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
             others.takeUnless { usesOwnShare(ticket.service, rank, it, counts, nowMs) }.orEmpty()
         val reserved = fleet.reservedSlots(ticket.service, rank, usable)
-        val candidates = free.filter { counts.isFree(it, reserved) && isVersionAllowed(it.spec) }
+        val candidates = free.filter { counts.isFree(it, reserved) }
         if (candidates.isEmpty()) return Placement.NoneFree
         val suitable = candidates.filter { selector.canEndInTime(it, ticket, nowMs) }
         // A faster target may become free while the ticket can still wait for it.
@@ -389,7 +389,9 @@
             usable.any { selector.canEndInTime(it, ticket, nowMs) }
         if (isWorthWaiting) return Placement.Unsuitable
         val fitting = suitable.ifEmpty { candidates }
-        val untried = fitting.filter { it.spec.id !in ticket.avoid }.ifEmpty { fitting }
+        val allowed = fitting.filter { isVersionAllowed(it.spec) }
+        if (allowed.isEmpty()) return Placement.NoneFree
+        val untried = allowed.filter { it.spec.id !in ticket.avoid }.ifEmpty { allowed }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
         return Placement.Found(selector.select(unsuspected, counts, ticket, nowMs))
     }
