--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreLeaseTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/state/StoreLeaseTest.kt
@@ -182,6 +182,36 @@
         assertThat(listOfNotNull(first.tryHold(), second.tryHold())).hasSize(1)
     }
 
+    /** The same on the object of the present holder, which stays the holder. */
+    @Example
+    fun holderRenewsOverALateWriteOfAnEarlierEra() = StoreClientEnvironment.test {
+        val stores = client() to client()
+        val (first, second) = settledCandidates(stores.first, stores.second)
+        first.tryHold()!!
+        standIn.takeSnapshot()
+        advance(STEP_MS)
+        first.tryHold()!!
+        var late: () -> StoreStandIn.Reply = { error("no write was sent") }
+        standIn.intercept = { _, execute ->
+            late = execute
+            standIn.intercept = { _, next -> next() }
+            null
+        }
+        first.release()
+        standIn.restore()
+        stores.second.list(ObjectKinds.TARGETS)
+        second.tryHold()
+        advance(StoreClientEnvironment.DURATION_MS)
+        val held = second.tryHold()!!
+        assertThat(late().status).describedAs("revision that was issued again").isEqualTo(200)
+        assertThat(first.tryHold()).isNull()
+        advance(STEP_MS)
+        assertThat(second.tryHold()).isSameAs(held)
+        assertThat(standIn.spec(ObjectKinds.LEASES, "svc"))
+            .contains(held.token.toString())
+            .doesNotContain("\"holder\":\"\"")
+    }
+
     @Example
     fun withoutErasAFreeLeaseIsTakenAtOnce() = StoreClientEnvironment.test {
         standIn.era = null
