HedgedRequestTest: learn the usual time over one connection

In one of five runs at a load average of 12 one of the 60 connections for learning hit the connect timeout of 250 ms, before anything was hedged.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/HedgedRequestTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/HedgedRequestTest.kt
@@ -179,7 +179,15 @@
         }
         environment.writeManifest(routes = EdgeTestEnvironment.ROUTES + UNSAFE_ROUTE)
         environment.start()
-        repeat(60) { environment.ask(path) }
+        runBlocking {
+            val headers = listOf(Header("X-Api-Key", "key-1"))
+            environment.connect().use { connection ->
+                repeat(60) {
+                    connection.send(environment.request(path, headers))
+                    connection.receive().body.readAll(1_000)
+                }
+            }
+        }
         logger.addAppender(lines.apply { start() })
     }
 
