FleetScheduler.explain: what would be decided on a ticket, and why

Operators can't see why a request waits or is refused without sending one.

It names the account's share, a reserved slot, a version that is not allowed, and free targets that are too slow. In FleetScheduler, place returns the candidates and what they follow from, and the caller selects one; the order of random numbers stays the same.

Two rules changed state when asked, so each gets a form without effect: RolloutPolicy.wouldAllow beside isAllowed, which counts the choices of the scheduler, and AccountShares.peekBandOf beside bandOf, which may update the median.

A ticket that arrives can enlarge this host's share of the slots, so that one ahead of it is sent at once.

FleetExplanationTest: the explained verdict is the decision on the same ticket, and explanations change no later decision.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
@@ -60,6 +60,7 @@
     /** Makes [scheduler] ask for the versions that may be used, and registers the gauges. */
     fun start(scheduler: FleetScheduler) {
         scheduler.isVersionAllowed = { policy.isAllowed(it, clock.nowMs()) }
+        scheduler.wouldAllowVersion = { policy.wouldAllow(it, clock.nowMs()) }
         policy.onStop = { order, evidence ->
             log.stateChange(
                 "rollout stopped",
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/AccountShares.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/AccountShares.kt
@@ -43,28 +43,36 @@
     public fun bandOf(account: String?, nowMs: Long): ShareBand {
         latestMs = maxOf(latestMs, nowMs)
         if (account == null || received.size < MIN_ACCOUNTS) return ShareBand.WITHIN
-        val used = usageOf(account)
-        val typical = medianUsage()
-        return when {
+        if (latestMs - medianAtMs >= MEDIAN_INTERVAL_MS) {
+            medianAtMs = latestMs
+            median = medianUsage(latestMs)
+        }
+        return bandOf(usageOf(account, latestMs), median)
+    }
+
+    /** What [bandOf] would return, without an effect on when the median is updated. */
+    internal fun peekBandOf(account: String?, nowMs: Long): ShareBand {
+        if (account == null || received.size < MIN_ACCOUNTS) return ShareBand.WITHIN
+        val atMs = maxOf(latestMs, nowMs)
+        val isDue = atMs - medianAtMs >= MEDIAN_INTERVAL_MS
+        return bandOf(usageOf(account, atMs), if (isDue) medianUsage(atMs) else median)
+    }
+
+    private fun bandOf(used: Double, typical: Double): ShareBand =
+        when {
             used <= typical * ABOVE_FACTOR -> ShareBand.WITHIN
             used <= typical * FAR_ABOVE_FACTOR -> ShareBand.ABOVE
             else -> ShareBand.FAR_ABOVE
         }
-    }
 
     /** The time for which the quota of [account] gives what it got, in seconds. */
-    private fun usageOf(account: String): Double {
-        val units = received[account]?.sum(latestMs) ?: return 0.0
+    private fun usageOf(account: String, atMs: Long): Double {
+        val units = received[account]?.sum(atMs) ?: return 0.0
         return units.coerceAtLeast(0) / (quotasPerSecond[account] ?: usualQuotaPerSecond)
     }
 
-    private fun medianUsage(): Double {
-        if (latestMs - medianAtMs >= MEDIAN_INTERVAL_MS) {
-            medianAtMs = latestMs
-            median = received.keys.map(::usageOf).filter { it > 0 }.median() ?: 0.0
-        }
-        return median
-    }
+    private fun medianUsage(atMs: Long): Double =
+        received.keys.map { usageOf(it, atMs) }.filter { it > 0 }.median() ?: 0.0
 
     private fun Collection<Double>.median(): Double? = sorted().getOrNull(size / 2)
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -41,6 +41,16 @@
     /** Whether a target may get the next request, by its version; asked only of free targets. */
     public var isVersionAllowed: (FleetTarget) -> Boolean = { true }
 
+    /**
+     * What [isVersionAllowed] would return, without an effect on its later answers; asked for
+     * explanations.
+     */
+    public var wouldAllowVersion: (FleetTarget) -> Boolean = { true }
+
+    /** Explains decisions by the same rules, see [explain]. */
+    internal val explainer: FleetExplainer
+        get() = FleetExplainer(this, targets.values, waiting, engine, selector, fleet, accountShares)
+
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
 
@@ -303,7 +313,12 @@
         if (round.mayPlace) {
             when (val placement = place(ticket, rank, nowMs)) {
                 is Placement.Found -> {
-                    val load = placement.load
+                    val load = selector.select(
+                        placement.candidates,
+                        placement.options.counts,
+                        ticket,
+                        nowMs
+                    )
                     val firstEventMs = engine.firstEventMs(load, ticket.promptTokens, nowMs)
                     return FleetDecision.Send(load.spec.id, firstEventMs.toLong())
                 }
@@ -321,12 +336,31 @@
         return null
     }
 
-    private fun mayWait(ticket: FleetTicket, rank: Int, position: Int, nowMs: Long): Boolean {
+    /**
+     * Whether [ticket] may wait with [position] others of its service ahead of it. An explanation
+     * counts [newSends] and [newArrivals] that are not recorded.
+     */
+    internal fun mayWait(
+        ticket: FleetTicket,
+        rank: Int,
+        position: Int,
+        nowMs: Long,
+        newSends: Int = 0,
+        newArrivals: Int = 0
+    ): Boolean {
         val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
         val slots = activeTargets[ticket.service].orEmpty().sumOf { it.spec.slots }
         val ownSlots = if (fleet.isSmall) null else slots.toDouble() / hostCount
         return overloadPolicies.of(ticket.service)
-            .mayStartInTime(ticket, isDeferred, position, ownSlots, nowMs)
+            .mayStartInTime(
+                ticket,
+                isDeferred,
+                position,
+                ownSlots,
+                nowMs,
+                newSends,
+                newArrivals
+            )
     }
 
     /** What was decided on the waiting tickets of one service so far. */
@@ -346,14 +380,29 @@
         val mayPlace: Boolean get() = !isFull && unsuitableCount <= MAX_UNSUITABLE
     }
 
+    /** The targets of one service as they are open to tickets of one rank. */
+    internal class Options(
+        val usable: List<TargetLoad>,
+        val counts: ExpectedCounts,
+        /** Whether this host uses its share of the slots of targets without a limit. */
+        val isShareUsed: Boolean,
+        /** The slots to be left free at each target. */
+        val reservedSlots: Int,
+        /** The targets that may get a ticket now. */
+        val free: List<TargetLoad>
+    )
+
     /** Where a ticket could be sent now. */
-    private sealed class Placement {
-        class Found(val load: TargetLoad) : Placement()
+    internal sealed class Placement {
+        abstract val options: Options
+
+        /** It may be sent to any of [candidates]. */
+        class Found(override val options: Options, val candidates: List<TargetLoad>) : Placement()
 
         /** Targets are free, but on none of them could the response end in time. */
-        data object Unsuitable : Placement()
+        class Unsuitable(override val options: Options) : Placement()
 
-        data object NoneFree : Placement()
+        class NoneFree(override val options: Options) : Placement()
     }
 
     private fun refuse(ticket: FleetTicket, reason: String, nowMs: Long): FleetDecision {
@@ -368,30 +417,45 @@
         return FleetDecision.Refuse(reason, retryAfterMs)
     }
 
-    private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement {
-        val usable = activeTargets[ticket.service].orEmpty().usable(nowMs)
-        val counts = fleet.expectedCounts(
-            ticket.service,
-            overloadPolicies.of(ticket.service).typicalRunMs,
-            nowMs
-        )
+    private fun optionsFor(
+        service: String,
+        rank: Int,
+        nowMs: Long,
+        isAllowed: (FleetTarget) -> Boolean
+    ): Options {
+        val usable = activeTargets[service].orEmpty().usable(nowMs)
+        val counts =
+            fleet.expectedCounts(service, overloadPolicies.of(service).typicalRunMs, nowMs)
         val (limited, others) = usable.partition { limits.perSecond(it.spec.ref) != null }
+        val isShareUsed = usesOwnShare(service, rank, others, counts, nowMs)
         // Permits are shares already, and are lost if they are not used.
-        val free = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
-            others.takeUnless { usesOwnShare(ticket.service, rank, it, counts, nowMs) }.orEmpty()
-        val reserved = fleet.reservedSlots(ticket.service, rank, usable)
-        val candidates = free.filter { counts.isFree(it, reserved) && isVersionAllowed(it.spec) }
-        if (candidates.isEmpty()) return Placement.NoneFree
-        val suitable = candidates.filter { selector.canEndInTime(it, ticket, nowMs) }
+        val open = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
+            others.takeUnless { isShareUsed }.orEmpty()
+        val reserved = fleet.reservedSlots(service, rank, usable)
+        val free = open.filter { counts.isFree(it, reserved) && isAllowed(it.spec) }
+        return Options(usable, counts, isShareUsed, reserved, free)
+    }
+
+    /** Finds the targets that [ticket] may be sent to, whose versions [isAllowed] accepts. */
+    internal fun place(
+        ticket: FleetTicket,
+        rank: Int,
+        nowMs: Long,
+        isAllowed: (FleetTarget) -> Boolean = isVersionAllowed
+    ): Placement {
+        val options = optionsFor(ticket.service, rank, nowMs, isAllowed)
+        val free = options.free
+        if (free.isEmpty()) return Placement.NoneFree(options)
+        val suitable = free.filter { selector.canEndInTime(it, ticket, nowMs) }
         // A faster target may become free while the ticket can still wait for it.
         val isWorthWaiting = suitable.isEmpty() &&
             nowMs + MIN_WAIT_MS < ticket.startByMs &&
-            usable.any { selector.canEndInTime(it, ticket, nowMs) }
-        if (isWorthWaiting) return Placement.Unsuitable
-        val fitting = suitable.ifEmpty { candidates }
+            options.usable.any { selector.canEndInTime(it, ticket, nowMs) }
+        if (isWorthWaiting) return Placement.Unsuitable(options)
+        val fitting = suitable.ifEmpty { free }
         val untried = fitting.filter { it.spec.id !in ticket.avoid }.ifEmpty { fitting }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
-        return Placement.Found(selector.select(unsuspected, counts, ticket, nowMs))
+        return Placement.Found(options, unsuspected)
     }
 
     /**
@@ -415,7 +479,8 @@
         return used + 1 > share + SHARE_MARGIN_SLOTS + fleet.shareRounding
     }
 
-    private fun ownDemand(service: String, nowMs: Long): Map<Int, Int> {
+    /** The requests of [service] that run or wait on this host, by rank. */
+    internal fun ownDemand(service: String, nowMs: Long): Map<Int, Int> {
         val demand = HashMap(waiting.countByRank(service, nowMs))
         running.values.forEach {
             if (it.ticket.service == service) demand.merge(it.rank, 1, Int::plus)
@@ -482,15 +547,15 @@
         }
     }
 
-    private companion object {
+    internal companion object {
         /** Bounds the work of one decision on tickets that no free target suits. */
         const val MAX_UNSUITABLE = 8
 
         /** With less time, a ticket takes the free target that suits it best. */
-        const val MIN_WAIT_MS = 100L
+        private const val MIN_WAIT_MS = 100L
 
         /** Lets a host that holds its share use a slot that no host with a smaller one takes. */
-        const val SHARE_MARGIN_SLOTS = 0.5
+        private const val SHARE_MARGIN_SLOTS = 0.5
     }
 }
 
@@ -498,13 +563,13 @@
 private const val MAX_EJECTED_DIVISOR = 2
 
 /** The time until the first of these targets wants requests; 0 if one does now. */
-private fun List<TargetLoad>.restMs(nowMs: Long): Long {
+internal fun List<TargetLoad>.restMs(nowMs: Long): Long {
     val firstMs = minOfOrNull { it.restingUntilMs } ?: nowMs
     return (firstMs - nowMs).coerceAtLeast(0)
 }
 
 /** The targets that may get requests: none that rests, and ejected ones only if all others do. */
-private fun List<TargetLoad>.usable(nowMs: Long): List<TargetLoad> {
+internal fun List<TargetLoad>.usable(nowMs: Long): List<TargetLoad> {
     val awake = filter { it.restingUntilMs <= nowMs }
     return awake.filter { it.ejectedUntilMs <= nowMs }.ifEmpty { awake }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
@@ -33,20 +33,24 @@
      * Whether [ticket] with [position] others ahead may get a target in time. One that is late,
      * [isDeferred], also yields to all that arrive until then. In a large fleet, this host has
      * [ownSlots] slots on average; with few of them, not even a short queue is served in time.
+     * [newSends] and [newArrivals] count besides those that were recorded.
      */
     fun mayStartInTime(
         ticket: FleetTicket,
         isDeferred: Boolean,
         position: Int,
         ownSlots: Double?,
-        nowMs: Long
+        nowMs: Long,
+        newSends: Int = 0,
+        newArrivals: Int = 0
     ): Boolean {
         val mostAccepted = if (isDeferred) ALWAYS_ACCEPTED_LATE else ALWAYS_ACCEPTED
         val accepted = (ownSlots ?: Double.MAX_VALUE) / SLOTS_PER_ACCEPTED
         if (position < accepted.coerceIn(1.0, mostAccepted.toDouble())) return true
         val durationMs = ticket.startByMs - nowMs
-        val expectedSends = sends.expectedCount(durationMs, nowMs)
-        val overtaking = if (isDeferred) arrivals.expectedCount(durationMs, nowMs) else 0.0
+        val expectedSends = sends.expectedCount(durationMs, nowMs, newSends)
+        val overtaking =
+            if (isDeferred) arrivals.expectedCount(durationMs, nowMs, newArrivals) else 0.0
         return position <= (expectedSends - overtaking) * SEND_RATE_MARGIN
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RecentRate.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RecentRate.kt
@@ -9,10 +9,13 @@
         expire(nowMs)
     }
 
-    /** Extrapolates the occurrences of the last second to [durationMs] milliseconds. */
-    fun expectedCount(durationMs: Long, nowMs: Long): Double {
+    /**
+     * Extrapolates the occurrences of the last second, and [unrecorded] further ones, to
+     * [durationMs] milliseconds.
+     */
+    fun expectedCount(durationMs: Long, nowMs: Long, unrecorded: Int = 0): Double {
         expire(nowMs)
-        return occurredAtMs.size.toDouble() * durationMs / WINDOW_MS
+        return (occurredAtMs.size + unrecorded).toDouble() * durationMs / WINDOW_MS
     }
 
     private fun expire(nowMs: Long) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -141,6 +141,20 @@
         return isAllowed
     }
 
+    /**
+     * Whether [isAllowed] would accept [target] for a request that is decided on now. Unlike that,
+     * it can be asked at any time without an effect on decisions.
+     */
+    public fun wouldAllow(target: FleetTarget, nowMs: Long): Boolean {
+        if (!mayUse(target.service, target.version, nowMs)) return false
+        val rollout = rollouts[target.service]
+        return when {
+            rollout == null || rollout.decision != RolloutDecision.Undecided -> true
+            target.version == rollout.order.to.name -> rollout.isCanary(target.id, nowMs)
+            else -> !(mayShift(rollout, nowMs) && rollout.choices.wouldSteer(nowMs))
+        }
+    }
+
     /** Records that the request of ticket [sequence] on [route] was sent to [targetId]. */
     public fun onSend(
         sequence: Long,
@@ -249,14 +263,16 @@
     }
 
     /** Whether the next request should go to the new version only. */
-    private fun isForNew(rollout: ServiceRollout, nowMs: Long): Boolean {
+    private fun isForNew(rollout: ServiceRollout, nowMs: Long): Boolean =
+        mayShift(rollout, nowMs) && rollout.choices.trySteer(nowMs)
+
+    private fun mayShift(rollout: ServiceRollout, nowMs: Long): Boolean {
         val elapsedMs = rollout.elapsedMs(nowMs)
         val isWanted = CanarySelection.isBurst(elapsedMs) ||
             rollout.schedule.isShift(elapsedMs)
         return isWanted &&
             rollout.hasNewTargets &&
-            mayExpose(rollout, nowMs) &&
-            rollout.choices.trySteer(nowMs)
+            mayExpose(rollout, nowMs)
     }
 
     private fun judge(rollout: ServiceRollout, nowMs: Long) {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetSelector.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/TargetSelector.kt
@@ -15,7 +15,9 @@
         counts: ExpectedCounts,
         ticket: FleetTicket,
         nowMs: Long
-    ): TargetLoad = sampleOf(candidates).minBy { score(it, counts, ticket, nowMs) }
+    ): TargetLoad = sampleOf(candidates).minBy {
+        score(it, counts, ticket, nowMs, random.nextDouble())
+    }
 
     /** Whether the response to [ticket] is expected to end by its deadline if it is sent now. */
     fun canEndInTime(load: TargetLoad, ticket: FleetTicket, nowMs: Long): Boolean {
@@ -27,33 +29,39 @@
 
     /** A random sample if there are many hosts, which would else all choose the same target. */
     private fun sampleOf(candidates: List<TargetLoad>): List<TargetLoad> =
-        if (fleet.isSmall || candidates.size <= SAMPLE_SIZE) {
-            candidates
-        } else {
+        if (isSampled(candidates)) {
             candidates.shuffled(random).take(SAMPLE_SIZE)
+        } else {
+            candidates
         }
 
+    /** Whether only a random sample of [candidates] is compared. */
+    fun isSampled(candidates: List<TargetLoad>): Boolean =
+        !fleet.isSmall && candidates.size > SAMPLE_SIZE
+
     /**
      * Scores [load] for [ticket], lower is better: the predicted time in milliseconds on an engine,
-     * otherwise the occupancy with this ticket times the slowdown. Random jitter breaks ties.
+     * otherwise the occupancy with this ticket times the slowdown. Random [jitter] from 0 to 1
+     * breaks ties.
      */
-    private fun score(
+    fun score(
         load: TargetLoad,
         counts: ExpectedCounts,
         ticket: FleetTicket,
-        nowMs: Long
+        nowMs: Long,
+        jitter: Double
     ): Double {
         val otherZoneMs = if (load.spec.availabilityZone == zone) 0.0 else OTHER_ZONE_MS
         val count = counts.of(load)
         val occupancy = count / load.spec.slots
         if (!load.spec.isEngine) {
             val withThisOne = (count + 1.0) / load.spec.slots
-            return withThisOne * load.slowdownAt(nowMs) + random.nextDouble() * TIE_BREAK_JITTER
+            return withThisOne * load.slowdownAt(nowMs) + jitter * TIE_BREAK_JITTER
         }
         val outputMs = ticket.expectedEvents * engine.msPerEvent * load.slowdown.current
         val predictedMs = engine.firstEventMs(load, ticket.promptTokens, nowMs) +
             outputMs * OUTPUT_WEIGHT * (1 + occupancy) + otherZoneMs
-        return predictedMs * (1 + random.nextDouble() * TIE_BREAK_JITTER)
+        return predictedMs * (1 + jitter * TIE_BREAK_JITTER)
     }
 
     private companion object {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
@@ -57,6 +57,9 @@
         return true
     }
 
+    /** Whether [trySteer] would allow that. */
+    fun wouldSteer(nowMs: Long): Boolean = !isSteeringFailed && nowMs >= suspendedUntilMs
+
     /** Withholds no targets before [untilMs]. */
     fun suspend(untilMs: Long) {
         suspendedUntilMs = maxOf(suspendedUntilMs, untilMs)
