--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -9,6 +9,7 @@
 import org.bronzetide.http.Header
 import org.bronzetide.http.ResponseProgress
 import org.bronzetide.platform.fleet.PlatformHeaders
+import org.bronzetide.platform.fleet.Route
 import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.TargetEntry
 import org.bronzetide.platform.fleet.TargetReport
@@ -192,27 +193,10 @@
     private fun dueAtMs(state: State): Long =
         if (state.relay.isStarted) state.call.deadlineAtMs else state.call.dueAtMs
 
-    /**
-     * Returns the latest time at which sending is still useful, so that a first event can arrive
-     * before the caller gives up.
-     */
     private fun startByMs(state: State): Long {
         val call = state.call
-        val latency = call.route.targetLatencyMs
-        val streaming = call.route.kind as? RouteKind.Streaming
         if (state.relay.isStarted) return call.deadlineAtMs
-        val giveUpAfterMs = if (streaming == null) {
-            call.deadlineAtMs - call.arrivedAtMs
-        } else {
-            maxOf(
-                MIN_GIVE_UP_MS,
-                GIVE_UP_LATENCY_FACTOR * latency,
-                GIVE_UP_EVENT_INTERVAL_FACTOR * streaming.maxEventIntervalMs
-            )
-        }
-        val giveUpAtMs = minOf(call.deadlineAtMs, call.arrivedAtMs + giveUpAfterMs)
-        val responseTimeMs = minOf(latency / 2, (giveUpAtMs - call.arrivedAtMs) / 2)
-        return giveUpAtMs - responseTimeMs
+        return startByMs(call.route, call.arrivedAtMs, call.deadlineAtMs)
     }
 
     private suspend fun send(state: State, decision: FleetDecision.Send): SendResult {
@@ -652,6 +636,27 @@
         private const val STALL_EVENT_INTERVAL_FACTOR = 4L
         private const val MIN_STALL_TIMEOUT_MS = 350L
 
+        /**
+         * Returns the latest time at which sending a request on [route] is still useful, so that a
+         * first event can arrive before the caller gives up. Times are in milliseconds.
+         */
+        fun startByMs(route: Route, arrivedAtMs: Long, deadlineAtMs: Long): Long {
+            val latency = route.targetLatencyMs
+            val streaming = route.kind as? RouteKind.Streaming
+            val giveUpAfterMs = if (streaming == null) {
+                deadlineAtMs - arrivedAtMs
+            } else {
+                maxOf(
+                    MIN_GIVE_UP_MS,
+                    GIVE_UP_LATENCY_FACTOR * latency,
+                    GIVE_UP_EVENT_INTERVAL_FACTOR * streaming.maxEventIntervalMs
+                )
+            }
+            val giveUpAtMs = minOf(deadlineAtMs, arrivedAtMs + giveUpAfterMs)
+            val responseTimeMs = minOf(latency / 2, (giveUpAtMs - arrivedAtMs) / 2)
+            return giveUpAtMs - responseTimeMs
+        }
+
         /** Returns the headers of a failure, which promises nothing about the request. */
         fun failureHeaders(requestId: String?): List<Header> =
             listOfNotNull(requestId?.let { Header(PlatformHeaders.REQUEST_ID, it) })
