GET /explain on the control address

Cause: why a request would wait or be refused on a host could only be seen by sending it and reading the logs.

ControlServer gets endpoints that depend on the request.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -20,6 +20,7 @@
 import org.bronzetide.edge.entry.ControlServer
 import org.bronzetide.edge.entry.InFlightRequests
 import org.bronzetide.edge.entry.QuotaLimiterAdapter
+import org.bronzetide.edge.entry.RequestExplainer
 import org.bronzetide.edge.forwarding.ProcessEnd
 import org.bronzetide.edge.forwarding.RequestForwarder
 import org.bronzetide.edge.forwarding.SchedulerAdapter
@@ -182,9 +183,12 @@
         ).serve(CallerConnection(it))
     }
     private val operatorAcceptor = ConnectionAcceptor(traffic, settings.controlAddress, log) {
-        ControlServer(operatorEndpoints).serve(CallerConnection(it))
+        ControlServer(operatorEndpoints, mapOf("/explain" to explainer::respond))
+            .serve(CallerConnection(it))
     }
 
+    private val explainer =
+        RequestExplainer(settings.nodeName, control, clock, scheduler, quotaLimiter, ::manifest)
     private val operatorEndpoints: Map<String, () -> ControlServer.Response> = mapOf(
         "/status" to { ControlServer.Response(OK, status.toJson(), "application/json") },
         "/metrics" to { ControlServer.Response(OK, metrics.scrape()) },
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ControlServer.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ControlServer.kt
@@ -4,8 +4,14 @@
 import org.bronzetide.http.Header
 import org.bronzetide.http.IncomingRequest
 
-/** Serves small GET endpoints by path, such as readiness, metrics and status. */
-internal class ControlServer(private val endpoints: Map<String, () -> Response>) {
+/**
+ * Serves small GET endpoints by path, such as readiness, metrics and status. [queries] are those
+ * that depend on the request.
+ */
+internal class ControlServer(
+    private val endpoints: Map<String, () -> Response>,
+    private val queries: Map<String, suspend (IncomingRequest) -> Response> = emptyMap()
+) {
     /** A response with the content type [type], in plain text or JSON. */
     class Response(val status: Int, val body: String = "", val type: String = "text/plain")
 
@@ -24,8 +30,12 @@
         }
     }
 
-    private fun respondTo(request: IncomingRequest): Response = when (request.method) {
-        "GET" -> endpoints[request.path]?.invoke() ?: Response(NOT_FOUND)
+    private suspend fun respondTo(request: IncomingRequest): Response = when (request.method) {
+        "GET" ->
+            endpoints[request.path]?.invoke()
+                ?: queries[request.path]?.invoke(request)
+                ?: Response(NOT_FOUND)
+
         else -> Response(METHOD_NOT_ALLOWED)
     }
 
