--- a/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/Bronzetide.kt
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/Bronzetide.kt
@@ -27,6 +27,7 @@
         GetCommand(),
         StatusCommand(),
         InvoiceCommand(),
+        ExplainCommand(),
         DigestCommand(),
         DevCommand(),
         CompletionCommand()
