bronzetide explain: the account's share, rank and deadline of a request

RequestExplainer builds the ticket as RequestForwarder does: with RequestRank, the account and the end of its time. GET /explain states accountShare, and the command says if an account got more than others; the page names the new standings.

RolloutPolicy.wouldAllow is compared with isAllowed at every choice of the rollout tests (RolloutFleet). It differs only right after a choice without an allowed target, when isAllowed may withhold targets that have become free since, because it infers where a choice begins.

--- a/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/Explanation.kt
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/Explanation.kt
@@ -44,6 +44,8 @@
         val share: Double,
         val verdict: String,
         val rank: Int,
+        /** `within`, `above` or `far_above`: what the account got, compared with others. */
+        val accountShare: String,
         val ahead: Int,
         val ownDemand: Int,
         val ownShareUsed: Boolean,
--- a/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/ExplanationText.kt
+++ b/bronzetide-cli/src/main/kotlin/org/bronzetide/cli/ExplanationText.kt
@@ -43,6 +43,11 @@
             "  rank ${service.rank}, ${service.ahead} ahead; " +
                 "in progress or queued here ${service.ownDemand}$peers"
         )
+        when (service.accountShare) {
+            "above" -> add("  the account got clearly more than others, so it ranks behind them")
+            "far_above" ->
+                add("  the account got several times as much as others, so it ranks behind them")
+        }
         if (service.ownShareUsed) add("  this host uses its share of the slots")
         if (service.sampled) add("  the choice is made among a random sample of the free targets")
         service.candidates.forEach { add("  " + candidate(it)) }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestExplainer.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestExplainer.kt
@@ -11,6 +11,7 @@
 import org.bronzetide.scheduling.fleet.FleetScheduler
 import org.bronzetide.scheduling.fleet.FleetTicket
 import org.bronzetide.scheduling.fleet.QuotaLimiter
+import org.bronzetide.scheduling.fleet.RequestRank
 import org.bronzetide.scheduling.fleet.explain
 
 /**
@@ -60,7 +61,7 @@
                 .takeIf { quota?.isExhausted == true }
             val totalWeight = route.services.sumOf { it.weight }
             val services = route.services.map { weighted ->
-                val ticket = ticket(query, current, route, weighted, found.priority, nowMs)
+                val ticket = ticket(query, current, route, weighted, account, nowMs)
                 RequestExplanation.ServiceDecision(
                     weighted.service,
                     if (totalWeight > 0) weighted.weight / totalWeight else 1.0,
@@ -76,18 +77,20 @@
         current: Manifest,
         route: Route,
         weighted: WeightedService,
-        priority: Int?,
+        account: Account?,
         nowMs: Long
     ): FleetTicket {
         val engine = current.services[weighted.service]?.engine
         return FleetTicket(
             EXPLAINED_SEQUENCE,
             weighted.service,
-            priority ?: route.priority,
+            RequestRank.of(account?.priority, route.priority).value,
             query.promptTokens ?: 0,
             if (engine == null) 0 else (query.maxOutputTokens ?: 0) / engine.tokensPerEvent,
             dueAtMs = nowMs + route.targetLatencyMs,
-            startByMs = RequestForwarder.startByMs(route, nowMs, nowMs + route.timeoutMs)
+            startByMs = RequestForwarder.startByMs(route, nowMs, nowMs + route.timeoutMs),
+            account = account?.name,
+            endByMs = nowMs + route.timeoutMs
         )
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestExplanation.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/RequestExplanation.kt
@@ -71,6 +71,7 @@
         put("share", service.share)
         putVerdict(decision.verdict)
         put("rank", decision.rank)
+        put("accountShare", decision.shareBand.name.lowercase())
         put("ahead", decision.aheadCount)
         put("ownDemand", decision.ownDemand)
         decision.peerDemand?.let { put("peerDemand", it) }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/AccountShares.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/AccountShares.kt
@@ -58,12 +58,11 @@
         return bandOf(usageOf(account, atMs), if (isDue) medianUsage(atMs) else median)
     }
 
-    private fun bandOf(used: Double, typical: Double): ShareBand =
-        when {
-            used <= typical * ABOVE_FACTOR -> ShareBand.WITHIN
-            used <= typical * FAR_ABOVE_FACTOR -> ShareBand.ABOVE
-            else -> ShareBand.FAR_ABOVE
-        }
+    private fun bandOf(used: Double, typical: Double): ShareBand = when {
+        used <= typical * ABOVE_FACTOR -> ShareBand.WITHIN
+        used <= typical * FAR_ABOVE_FACTOR -> ShareBand.ABOVE
+        else -> ShareBand.FAR_ABOVE
+    }
 
     /** The time for which the quota of [account] gives what it got, in seconds. */
     private fun usageOf(account: String, atMs: Long): Double {
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
@@ -64,13 +64,18 @@
         val restMs = inService.filter { !it.spec.isLeaving }.restMs(nowMs)
         val ahead = aheadOf(queue.take(position), restMs, nowMs)
         val verdict = refusal(ticket, restMs, nowMs) ?: when {
-            !ahead.isBlocking && placement is Placement.Found -> Verdict.Send(candidates.first().id)
+            !ahead.isBlocking && placement is Placement.Found ->
+                Verdict.Send(candidates.first().id)
 
             isTooLate(ticket, rank, ahead, nowMs) ->
                 Verdict.Refuse("too many ahead")
 
             else -> Verdict.Wait(
-                if (ahead.isBlocking) "$position requests ahead of it" else reasonToWait(candidates),
+                if (ahead.isBlocking) {
+                    "$position requests ahead of it"
+                } else {
+                    reasonToWait(candidates)
+                },
                 maxWaitMs = ticket.startByMs - nowMs
             )
         }
@@ -82,30 +87,27 @@
             ownDemand,
             fleet.demands[ticket.service]?.values?.sum(),
             placement.options.isShareUsed,
-            isSampled = placement is Placement.Found && selector.isSampled(placement.candidates),
+            placement is Placement.Found && selector.isSampled(placement.candidates),
             candidates
         )
     }
 
     private fun isTooLate(ticket: FleetTicket, rank: Int, ahead: Ahead, nowMs: Long): Boolean =
-        ahead.waitingCount > 0 && !scheduler.mayWait(
-            ticket,
-            rank,
-            ahead.waitingCount,
-            nowMs,
-            newSends = ahead.sentCount,
-            newArrivals = 1
-        )
+        ahead.waitingCount > 0 &&
+            !scheduler.mayWait(
+                ticket,
+                rank,
+                ahead.waitingCount,
+                nowMs,
+                newSends = ahead.sentCount,
+                newArrivals = 1
+            )
 
     private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement =
         scheduler.place(ticket, rank, nowMs, scheduler.wouldAllowVersion)
 
     /** What the tickets ahead of the explained one, [entries], leave to it. */
-    private fun aheadOf(
-        entries: List<WaitingQueue.RankedEntry>,
-        restMs: Long,
-        nowMs: Long
-    ): Ahead {
+    private fun aheadOf(entries: List<WaitingQueue.RankedEntry>, restMs: Long, nowMs: Long): Ahead {
         val ahead = Ahead()
         entries.filter { refusal(it.entry.ticket, restMs, nowMs) == null }.forEach {
             val placement =
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -49,7 +49,15 @@
 
     /** Explains decisions by the same rules, see [explain]. */
     internal val explainer: FleetExplainer
-        get() = FleetExplainer(this, targets.values, waiting, engine, selector, fleet, accountShares)
+        get() = FleetExplainer(
+            this,
+            targets.values,
+            waiting,
+            engine,
+            selector,
+            fleet,
+            accountShares
+        )
 
     /** The number of requests that wait for a target. */
     public val waitingCount: Int get() = waiting.size
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -143,7 +143,8 @@
 
     /**
      * Whether [isAllowed] would accept [target] for a request that is decided on now. Unlike that,
-     * it can be asked at any time without an effect on decisions.
+     * it can be asked at any time without an effect on decisions. After a choice without an allowed
+     * target, [isAllowed] may still withhold some targets that have become free since.
      */
     public fun wouldAllow(target: FleetTarget, nowMs: Long): Boolean {
         if (!mayUse(target.service, target.version, nowMs)) return false
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
@@ -57,8 +57,11 @@
         return true
     }
 
-    /** Whether [trySteer] would allow that. */
-    fun wouldSteer(nowMs: Long): Boolean = !isSteeringFailed && nowMs >= suspendedUntilMs
+    /** Whether [trySteer] would allow that for the next choice. */
+    fun wouldSteer(nowMs: Long): Boolean {
+        val hasFailed = isSteeringFailed || (isSteered && !isAnyAllowed)
+        return !hasFailed && nowMs >= suspendedUntilMs
+    }
 
     /** Withholds no targets before [untilMs]. */
     fun suspend(untilMs: Long) {
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutFleet.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutFleet.kt
@@ -42,6 +42,9 @@
 
         /** Whether it hears nothing from others, nor they from it. */
         var isIsolated = false
+
+        /** Whether none of the free targets was allowed at the latest choice. */
+        var hasFoundNone = false
         var policy = newPolicy()
 
         /** Replaces the process by one that knows nothing yet. */
@@ -116,7 +119,13 @@
 
     private fun send(host: Host) {
         val free = targets.filter { inProgress.getOrDefault(it.id, 0) < slots }
+        // Guards against explanations of other choices than those that are made.
+        val expected = free.filter { host.policy.wouldAllow(it, nowMs) }
         val allowed = free.filter { host.policy.isAllowed(it, nowMs) }
+        val isAsExpected =
+            if (host.hasFoundNone) expected.containsAll(allowed) else expected == allowed
+        check(isAsExpected) { "allowed $allowed, but expected $expected" }
+        host.hasFoundNone = allowed.isEmpty()
         val target = allowed.randomOrNull(random) ?: return
         requestCount++
         val sequence = sequences++
