--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/VersionChoices.kt
@@ -57,6 +57,12 @@
         return true
     }
 
+    /** Whether [trySteer] would allow that for the next choice. */
+    fun wouldSteer(nowMs: Long): Boolean {
+        val hasFailed = isSteeringFailed || (isSteered && !isAnyAllowed)
+        return !hasFailed && nowMs >= suspendedUntilMs
+    }
+
     /** Withholds no targets before [untilMs]. */
     fun suspend(untilMs: Long) {
         suspendedUntilMs = maxOf(suspendedUntilMs, untilMs)
