--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
@@ -78,6 +79,8 @@
     }
 
     override fun close() {
+        // An accept that the end of the server fails would count as uncaught in a later test.
+        scope.cancel()
         server.close()
         pool.close()
         control.close()
