--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/QuotaBucket.kt
@@ -90,7 +90,9 @@
                 val missing = needed - (spendable - unreported)
                 if (missing > 0) exhaustedAtMs = nowMs
                 val isExhausted = nowMs - exhaustedAtMs < EXHAUSTED_MS
-                if (isExhausted) missing + burst * reserved else missing
+                // A request that is small for its account takes little from the urgent ones.
+                val isSmall = units * SMALL_DIVISOR < usualUnits
+                if (isExhausted && !isSmall) missing + burst * reserved else missing
             }
 
             is PeerKnowledge.Unknown -> {
@@ -164,6 +166,9 @@
         /** The most of the burst that a first request needs, as its account is mostly sound. */
         const val FIRST_SHARE = 0.1
 
+        /** A request is small with less than this part of the account's mean. */
+        const val SMALL_DIVISOR = 4
+
         /** How long units are reserved for urgent requests after some were refused. */
         const val EXHAUSTED_MS = 2_000L
 
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/QuotaLimiterTest.kt
@@ -7,6 +7,37 @@
 import org.assertj.core.api.Assertions.assertThat
 
 class QuotaLimiterTest {
+    /** Guards against an account that floods and spends its units on whatever comes first. */
+    @Example
+    fun accountThatFloodsSpendsItsUnitsOnItsUrgentRequests() {
+        val quotas = QuotaLimiter()
+        var urgentGrants = 0
+        var otherGrants = 0
+        var smallGrants = 0
+        for (nowMs in 0L until 6_000L step 10) {
+            val isSteady = nowMs >= 2_000
+            if (nowMs % 100 == 0L) {
+                val small = quotas.tryConsume("a", 1_000.0, 1_000.0, 1, nowMs, reserved = 0.5)
+                if (isSteady && small == null) smallGrants++
+            }
+            val urgent = quotas.tryConsume("a", 1_000.0, 1_000.0, 15, nowMs)
+            val other = quotas.tryConsume("a", 1_000.0, 1_000.0, 15, nowMs, reserved = 0.5)
+            if (isSteady && urgent == null) urgentGrants++
+            if (isSteady && other == null) otherGrants++
+        }
+        assertThat(otherGrants).isLessThan(urgentGrants / 20)
+        assertThat(smallGrants).isGreaterThan(5)
+    }
+
+    /** Guards against units that are kept for urgent requests of an account below its quota. */
+    @Example
+    fun accountBelowItsQuotaKeepsNothingBack() {
+        val quotas = QuotaLimiter()
+        for (nowMs in 0L until 6_000L step 10) {
+            assertThat(quotas.tryConsume("a", 1_000.0, 1_000.0, 6, nowMs, reserved = 0.5)).isNull()
+        }
+    }
+
     @Example
     fun refusalReturnsTheTimeUntilUnitsAreAvailable() {
         val quotas = QuotaLimiter()
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RetryAdviceTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RetryAdviceTest.kt
@@ -35,5 +35,14 @@
             .isGreaterThan(2_000)
     }
 
+    /** Guards against an account that is told 40 ms again and again while it floods. */
+    @Example
+    fun accountThatStaysOverItsQuotaIsSpreadInPlaceOfReturningForOneRequest() {
+        assertThat(advice.onOverQuota(waitMs = 40, limitMs = 5_000, nowMs = 0)).isEqualTo(40)
+        (50L..950L step 50).forEach { advice.onOverQuota(40, 5_000, it) }
+        assertThat(advice.onOverQuota(40, 5_000, nowMs = 1_000)).isGreaterThan(2_000)
+        assertThat(advice.onOverQuota(40, 5_000, nowMs = 9_000)).isEqualTo(40)
+    }
+
     private fun refuse(nowMs: Long, limitMs: Long = 5_000) = advice.onRefusal(0, limitMs, nowMs)
 }
