Keep a slot for urgent requests only where they could fill half of the slots

Change: the reserve needs urgent demand for half of the slots in place of a tenth, and a host keeps one request waiting for each slot in place of each three.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetView.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetView.kt
@@ -72,7 +72,7 @@
         /** Averages over a few updates: hosts that follow each one start and stop together. */
         const val MEAN_COUNT_GAIN = 0.3
 
-        /** Fewer urgent requests than this share of the slots find one without a reserve. */
-        const val MIN_URGENT_SHARE = 0.1
+        /** With fewer urgent requests than this share of the slots, reserved ones stay unused. */
+        const val MIN_URGENT_SHARE = 0.5
     }
 }
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/OverloadPolicy.kt
@@ -79,8 +79,11 @@
         private const val ASSUMED_RUN_MS = 1_500L
         private const val RUN_GAIN = 0.05
 
-        /** A request that waits while so many slots of its host are in use starts within a run. */
-        private const val SLOTS_PER_ACCEPTED = 3
+        /**
+         * A request for each slot that a host has on average starts within about a run. With fewer
+         * in its queue, a slot that becomes free stays empty until other hosts hear of it.
+         */
+        private const val SLOTS_PER_ACCEPTED = 1
 
         /** Bounds the estimate for targets that take very few requests. */
         private const val MIN_SLOTS = 0.1
