SessionServer: handle what ends a session

Cause: a session that ends with its caller's broken connection threw through the fixture's scope, uncaught. Change: the scope has a handler, as that of the process has.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.standin
 
 import kotlin.random.Random
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -61,7 +62,10 @@
     val loop = TrafficLoop()
     private val pool = ConnectionPool(loop, clock)
     private val server = TcpServer("127.0.0.1", 0, loop)
-    private val scope = CoroutineScope(SupervisorJob() + loop)
+
+    /** As in the process: what ends a session, such as a caller's reset, ends nothing else. */
+    private val exceptionHandler = CoroutineExceptionHandler { _, cause -> cause.printStackTrace() }
+    private val scope = CoroutineScope(SupervisorJob() + loop + exceptionHandler)
     val port: Int = server.port
     val inFlightRequests = InFlightRequests()
 
