FleetScheduler: sum the slots of a service when its targets change

Each waiting ticket summed the slots of all targets of its service in each decision, 98 on the largest site; the sum changes only with the list of targets.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -18,6 +18,9 @@
 
     /** The targets of each service that do not leave. */
     private var activeTargets: Map<String, List<TargetLoad>> = emptyMap()
+
+    /** The slots of [activeTargets], by service; needed for each ticket that waits. */
+    private var activeSlots: Map<String, Int> = emptyMap()
     private val engine = EngineLatencyModel()
     private val responseTimes = ResponseTimes()
     private val waiting = WaitingQueue(responseTimes::usualMs)
@@ -82,6 +85,7 @@
             }
         }
         activeTargets = targets.values.filter { !it.spec.isLeaving }.groupBy { it.spec.service }
+        activeSlots = activeTargets.mapValues { (_, loads) -> loads.sumOf { it.spec.slots } }
         limits.updateTargets(specs)
     }
 
@@ -357,7 +361,7 @@
         newArrivals: Int = 0
     ): Boolean {
         val isDeferred = rank >= WaitingQueue.DEFERRED_RANK
-        val slots = activeTargets[ticket.service].orEmpty().sumOf { it.spec.slots }
+        val slots = activeSlots[ticket.service] ?: 0
         val ownSlots = if (fleet.isSmall) null else slots.toDouble() / hostCount
         return overloadPolicies.of(ticket.service)
             .mayStartInTime(
