Log the target's version and the stream that a caller takes up

The line 'sent' held neither the target's software version nor the caller's Last-Event-Id and Resumes, so that a run joined within one response (hypothesis 1) could not be told from a caller's new request (2) or one that reached a host without memory (3). It now has version, takesUp and takesUpAfter.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -346,7 +346,10 @@
             "timeLeftMs" to call.deadlineAtMs - clock.nowMs(),
             "manifest" to call.manifestVersion, "waitedMs" to clock.nowMs() - call.arrivedAtMs,
             "predictedMs" to decision.firstEventMs, "promptTokens" to call.metadata.promptTokens,
+            "version" to findTarget(decision.targetId)?.version,
             "resumesAfter" to state.relay.lastEventId,
+            "takesUp" to call.metadata.takenUpStream?.firstRequestId,
+            "takesUpAfter" to call.metadata.takenUpStream?.lastEventId,
             "whileSilent" to firstRun?.targetId?.takeUnless { firstRun.isHedged },
             "hedges" to firstRun?.targetId?.takeIf { firstRun.isHedged }
         )
