Addresses in use: a start waits for them and does not end the process

The first address that was in use threw BindException out of main: the process ended with status 1, 3.5 s after its start, as the shutdown hook drained a node that had never served, and no log line named the address. A process before it that drains holds all four addresses for up to 8 s.

The store is read and the warm-up runs meanwhile; the process is ready only once it listens everywhere, and callers' address is bound last, after peers' one. A cause that does not pass ends the process with an error that names the address. SIGTERM ends a process that waits at once. The time to find peers and to learn quotas begins when the peers' address is bound, not when the objects are created: a host that had waited for 3 s would have taken itself for the only one.

TcpServer closes its channel if it cannot be bound; retries would have used up descriptors.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -2,10 +2,12 @@
 
 import ch.qos.logback.classic.LoggerContext
 import java.io.File
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -17,6 +19,7 @@
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 
+private const val EXIT_START_FAILED = 1
 private const val EXIT_INVALID_SETTINGS = 2
 private const val HEDGING_SHARE = "--hedging-share"
 private const val ARCHIVE_WARM_UP_REQUESTS = 200
@@ -58,7 +61,14 @@
             stopped.countDown()
         }
     )
-    runBlocking { node.start() }
+    try {
+        runBlocking { node.start() }
+    } catch (cause: IOException) {
+        System.err.println("start: ${cause.message}")
+        exitProcess(EXIT_START_FAILED)
+    } catch (_: CancellationException) {
+        // A signal has closed the node meanwhile.
+    }
     stopped.await()
 }
 
@@ -103,7 +113,7 @@
 } catch (cause: SettingsException) {
     cause.errors.forEach { System.err.println("settings: $it") }
     null
-} catch (cause: java.io.IOException) {
+} catch (cause: IOException) {
     System.err.println("settings: ${cause.message}")
     null
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -14,6 +14,7 @@
 import org.bronzetide.coordination.Blackboard
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.entry.AddressBinder
 import org.bronzetide.edge.entry.AdmissionController
 import org.bronzetide.edge.entry.CallerSession
 import org.bronzetide.edge.entry.ConnectionAcceptor
@@ -136,6 +137,10 @@
     @Volatile
     private var isWarmedUp = false
 
+    /** Whether all addresses are bound. */
+    @Volatile
+    private var isListening = false
+
     @Volatile
     private var status = statusPage()
     private val departures: Departures = Departures(log) { target ->
@@ -197,23 +202,25 @@
     )
 
     /**
-     * Whether the process can serve: it has warmed up, has a manifest and the list of targets, and
-     * is not draining.
+     * Whether the process can serve: it listens, has warmed up, has a manifest and the list of
+     * targets, and is not draining.
      */
     public val isReady: Boolean
         get() = isWarmedUp &&
+            isListening &&
             !inFlightRequests.isDraining &&
             manifest() != null &&
             board[BlackboardKeys.areTargetsKnown]
 
     /**
-     * Starts listening, reading the store and exchanging messages with peers.
+     * Starts listening, reading the store and exchanging messages with peers. Waits for addresses
+     * that are in use; meanwhile it reads the store and warms up.
      *
      * @throws java.io.IOException if an address cannot be bound.
+     * @throws kotlinx.coroutines.CancellationException if the node is closed before it listens.
      */
     public suspend fun start() {
         control.start()
-        peers.start()
         board.subscribe(BlackboardKeys.targets) { updateTargets() }
         board.subscribe(BlackboardKeys.manifest) {
             updateTargets()
@@ -223,7 +230,6 @@
         control.post {
             scheduler.limits.onChange = ::logLimitChange
             rollouts?.start(scheduler)
-            fleet.start()
             control.timers.every(MAINTENANCE_INTERVAL_MS) {
                 pool.evictStale()
                 storePool.evictStale()
@@ -234,11 +240,7 @@
         store.onEraChange = ::onStoreEraChange
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
         scope.launch { watchStore(ObjectKinds.TARGETS, targetRegistry) }
-        rollouts?.let {
-            scope.launch { watchStore(ObjectKinds.ROLLOUTS, it.orders) }
-            scope.launch { it.driver.run() }
-        }
-        scope.launch { bootstrapFromPeers() }
+        rollouts?.let { scope.launch { watchStore(ObjectKinds.ROLLOUTS, it.orders) } }
         warmUp = scope.launch {
             try {
                 warmUp()
@@ -246,9 +248,7 @@
                 isWarmedUp = true
             }
         }
-        readinessAcceptor.start(scope)
-        operatorAcceptor.start(scope)
-        callerAcceptor.start(scope)
+        listen()
         log.stateChange(
             "started",
             "node" to settings.nodeName,
@@ -256,6 +256,19 @@
         )
     }
 
+    /** Callers come last: by then the host knows its peers and their use of quotas. */
+    private suspend fun listen() {
+        val binder = AddressBinder(clock, log)
+        binder.bind("control", operatorAcceptor.address) { operatorAcceptor.start(scope) }
+        binder.bind("readiness", readinessAcceptor.address) { readinessAcceptor.start(scope) }
+        binder.bind("peers", peers.address, peers::start)
+        control.post { fleet.start() }
+        scope.launch { bootstrapFromPeers() }
+        rollouts?.let { scope.launch { it.driver.run() } }
+        binder.bind("callers", callerAcceptor.address) { callerAcceptor.start(scope) }
+        isListening = true
+    }
+
     private fun onStoreEraChange(era: StoreEra) {
         metrics.onStoreEraChange()
         log.stateChange("store restored", "era" to era.number)
@@ -288,10 +301,15 @@
     /**
      * Drains the process: reports that it is not ready, keeps serving until the balancer has
      * noticed, closes idle connections, and waits for the requests in progress. Those that last
-     * too long get an answer shortly before the end of the grace time of the settings.
+     * too long get an answer shortly before the end of the grace time of the settings. A process
+     * that does not listen yet has nothing to drain.
      */
     public suspend fun drain() {
         inFlightRequests.isDraining = true
+        if (!isListening) {
+            control.call { fleet.leave() }
+            return log.stateChange("stopped before it listened")
+        }
         log.stateChange("stopping", "requests" to inFlightRequests.count)
         control.post { fleet.leave() }
         delay(BALANCER_DELAY_MS)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/ConnectionAcceptor.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.entry
 
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -17,7 +18,7 @@
  */
 internal class ConnectionAcceptor(
     private val loop: TrafficLoop,
-    private val address: SocketAddress,
+    val address: SocketAddress,
     private val log: DecisionLog,
     private val serve: suspend (TcpSocket) -> Unit
 ) : AutoCloseable {
@@ -27,13 +28,16 @@
     private var isOpen = true
 
     /**
-     * Binds [address] and accepts connections in [scope], whose job must be a supervisor.
+     * Binds [address] and accepts connections in [scope], whose job must be a supervisor. A call
+     * that failed may be repeated.
      *
-     * @throws IOException if the address cannot be bound.
+     * @throws IOException if the address cannot be bound, or after [close].
      */
     fun start(scope: CoroutineScope) {
-        val bound = TcpServer(address.host, address.port, loop)
-        server = bound
+        val bound = synchronized(this) {
+            if (!isOpen) throw ClosedChannelException()
+            TcpServer(address.host, address.port, loop).also { server = it }
+        }
         scope.launch {
             while (isOpen) {
                 val socket = try {
@@ -55,6 +59,7 @@
         }
     }
 
+    @Synchronized
     override fun close() {
         isOpen = false
         server?.close()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -82,7 +82,7 @@
         ::sendGrants
     )
     private val unresponsiveUntilMs = HashMap<NodeId, Long>()
-    private val startedAtMs = clock.nowMs()
+    private var startedAtMs = clock.nowMs()
     private var currentAggregator: NodeId? = null
     private var backup: NodeId? = null
     private var exchangeCount = 0L
@@ -120,6 +120,8 @@
 
     /** Starts the periodic work; must be called on the control thread. */
     fun start() {
+        startedAtMs = clock.nowMs()
+        quotaExchange.start()
         probe()
         timers.every(PROBE_INTERVAL_MS) { probe() }
         scheduleJoin()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -19,7 +19,7 @@
  * when a TCP event wakes it.
  */
 internal class PeerSocket(
-    private val address: SocketAddress,
+    val address: SocketAddress,
     private val log: DecisionLog,
     private val onMessage: (PeerMessage, String) -> Unit
 ) : AutoCloseable {
@@ -29,9 +29,9 @@
     private var isBound = false
 
     /**
-     * Starts receiving.
+     * Binds [address] and starts receiving. A call that failed may be repeated.
      *
-     * @throws IOException if the address cannot be bound.
+     * @throws IOException if the address cannot be bound, or after [close].
      */
     fun start() {
         channel.bind(InetSocketAddress(address.host, address.port))
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/QuotaExchange.kt
@@ -33,7 +33,7 @@
     private val send: (String, PeerMessage.Grants) -> Unit
 ) {
     private val lastSeenAtMs = HashMap<String, Long>()
-    private val startedAtMs = clock.nowMs()
+    private var startedAtMs = clock.nowMs()
     private var lastUpdateAtMs = startedAtMs
     private var announcedAtMs = startedAtMs
     private var isAnnouncing = false
@@ -53,6 +53,14 @@
         quotas.updateKnowledge(PeerKnowledge.Unknown(assumedHostCount), startedAtMs)
     }
 
+    /** Begins the time to join. A process may wait for its address after its creation. */
+    fun start() {
+        startedAtMs = clock.nowMs()
+        lastUpdateAtMs = startedAtMs
+        announcedAtMs = startedAtMs
+        quotas.startEmpty(startedAtMs)
+    }
+
     /** Handles totals from the aggregator, which [isPrimary], or from its backup. */
     fun onGrants(message: PeerMessage.Grants, isPrimary: Boolean, intervalMs: Long) {
         val nowMs = clock.nowMs()
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ProcessStartTest.kt
@@ -0,0 +1,85 @@
+package org.bronzetide.edge
+
+import java.io.File
+import java.io.IOException
+import java.net.Socket
+import java.nio.file.Files
+import net.jqwik.api.Example
+import net.jqwik.api.lifecycle.AfterTry
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.standin.EdgeProcess
+import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.edge.standin.StoreStandIn
+import org.bronzetide.platform.fleet.HostSettings
+
+/** Starts of real processes, with the flags of the deployed command, beside faults from outside. */
+class ProcessStartTest {
+    private val store = StoreStandIn()
+    private val text = EdgeTestEnvironment.settingsText(store.port)
+    private val port = HostSettings.parse(text).callerAddress.port
+    private val directory = Files.createTempDirectory("process-start-").toFile()
+    private val settings = File(directory, "local.conf").apply { writeText(text) }
+    private val processes = ArrayList<EdgeProcess>()
+
+    @AfterTry
+    fun close() {
+        processes.forEach { it.close() }
+        store.close()
+        directory.deleteRecursively()
+    }
+
+    /** Guards against a process that ends at its start, beside one that drains or dies slowly. */
+    @Example
+    fun processThatIsStartedWhileTheOneBeforeItDrainsServes() {
+        val before = start()
+        assertThat(awaitServing()).isTrue()
+        before.signal("TERM")
+        val after = start()
+        assertThat(before.awaitExit()).isEqualTo(STATUS_OF_SIGTERM)
+        assertThat(awaitServing()).describedAs(after.output).isTrue()
+        assertThat(after.isRunning).isTrue()
+        assertThat(after.output).contains("\"address\":\"127.0.0.1:").contains("in use")
+    }
+
+    /** Guards against a process that drains for seconds though it has never served. */
+    @Example
+    fun processThatWaitsForAnAddressEndsAtOnceOnSigterm() {
+        start()
+        assertThat(awaitServing()).isTrue()
+        val waiting = start()
+        awaitOutput(waiting, "in use")
+        waiting.signal("TERM")
+        assertThat(waiting.awaitExit(STOP_LIMIT_MS)).isEqualTo(STATUS_OF_SIGTERM)
+        assertThat(waiting.output).doesNotContain("Exception in thread")
+    }
+
+    private fun start() = EdgeProcess(settings, File(directory, "log-${processes.size}"))
+        .also(processes::add)
+
+    private fun awaitServing(): Boolean = await {
+        try {
+            Socket("127.0.0.1", port).close()
+            true
+        } catch (_: IOException) {
+            false
+        }
+    }
+
+    private fun awaitOutput(process: EdgeProcess, part: String) =
+        assertThat(await { part in process.output }).describedAs(process.output).isTrue()
+
+    private fun await(condition: () -> Boolean): Boolean {
+        val untilNs = System.nanoTime() + WAIT_NS
+        while (!condition()) {
+            if (System.nanoTime() > untilNs) return false
+            Thread.sleep(20)
+        }
+        return true
+    }
+
+    private companion object {
+        const val STATUS_OF_SIGTERM = 143
+        const val STOP_LIMIT_MS = 1_500L
+        const val WAIT_NS = 12_000_000_000L
+    }
+}
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerCoordinatorTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerCoordinatorTest.kt
@@ -20,6 +20,19 @@
         }
     }
 
+    /** Guards against a full quota at a host that had to wait for its address. */
+    @Example
+    fun hostThatStartsLongAfterItsCreationDoesNotTakeItselfForTheOnlyOne() {
+        val network = PeerNetwork(seed = 1)
+        network.startHost()
+        val host = network.createHost()
+        network.run(5_000)
+        host.isIsolated = true
+        host.coordinator.start()
+        network.run(2_000)
+        assertThat(host.quotas.knowledge).isInstanceOf(PeerKnowledge.Unknown::class.java)
+    }
+
     @Example
     fun eachHostLearnsTheLoadsOfAllOthers() {
         reset(seed = 1, hostCount = 4, loss = 0.0)
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -58,7 +58,8 @@
         }
     }
 
-    private fun createHost(): Host = Host(startedCount++).also { hosts += it }
+    /** Creates a host that does not send anything until its coordinator is started. */
+    fun createHost(): Host = Host(startedCount++).also { hosts += it }
 
     private fun deliver(from: Host, to: SocketAddress, message: PeerMessage) {
         val receiver = hosts.find { it.ip == to.host } ?: return
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -167,10 +167,16 @@
             storePort: Int,
             name: String = "edge-1",
             bounds: String = "bounds.retry_slack=56"
-        ): HostSettings {
+        ): HostSettings = HostSettings.parse(settingsText(storePort, name, bounds))
+
+        /** The text of a settings file with free ports. */
+        fun settingsText(
+            storePort: Int,
+            name: String = "edge-1",
+            bounds: String = "bounds.retry_slack=56"
+        ): String {
             val ports = freePorts(4)
-            return HostSettings.parse(
-                """
+            return """
                 node_name=$name
                 zone=z1
                 ip=127.0.0.1
@@ -182,8 +188,7 @@
                 limits.cpu_share=1
                 limits.memory_mb=200
                 platform.address=127.0.0.1:$storePort
-                """.trimIndent() + "\n" + bounds
-            )
+            """.trimIndent() + "\n$bounds\n"
         }
 
         /** The headers of a response to [request] that a target has signed. */
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpServer.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TcpServer.kt
@@ -15,11 +15,7 @@
     private val loop: TrafficLoop,
     backlog: Int = DEFAULT_BACKLOG
 ) : AutoCloseable {
-    private val channel = ServerSocketChannel.open().apply {
-        configureBlocking(false)
-        setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        bind(InetSocketAddress(host, port), backlog)
-    }
+    private val channel = openChannel(InetSocketAddress(host, port), backlog)
     private val readiness = ChannelReadiness(channel, loop)
 
     /** The local port; if port 0 was requested, the one that was selected. */
@@ -49,5 +45,17 @@
 
     private companion object {
         const val DEFAULT_BACKLOG = 512
+
+        fun openChannel(address: InetSocketAddress, backlog: Int): ServerSocketChannel {
+            val channel = ServerSocketChannel.open()
+            try {
+                channel.configureBlocking(false)
+                channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                return channel.bind(address, backlog)
+            } catch (cause: Throwable) {
+                channel.close()
+                throw cause
+            }
+        }
     }
 }
