Settings file: read again while it is being written, and without a signal

The file was read once at a start: one that another program was writing ended the process with status 2. Later it was read on SIGHUP only, so that a supervisor which makes its processes ignore that signal (it ends a JVM that has not installed its handler yet) could not change settings, and a signal between the reading and the creation of the node was lost.

A running process looks each second whether time of modification or length have changed, beside the maintenance that runs then anyway. An invalid file changes nothing; it is logged once and read each second until it is valid. `settings reloaded` says whether a restart is needed for the rest.

On the code before, settingsThatAreCutShortAtTheStartAreReadAgain, settingsThatChangeWithoutASignalAreApplied and hangUpAtAnyMomentEndsNoProcessWhoseParentIgnoresIt (at the change of settings: the signal itself was harmless there) failed.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/Edge.kt
@@ -1,7 +1,6 @@
 package org.bronzetide.edge
 
 import ch.qos.logback.classic.LoggerContext
-import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicReference
@@ -14,7 +13,6 @@
 import kotlinx.coroutines.yield
 import org.bronzetide.http.TrafficLoop
 import org.bronzetide.platform.fleet.HostSettings
-import org.bronzetide.platform.fleet.SettingsException
 import org.bronzetide.scheduling.fleet.HedgingShare
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
@@ -38,19 +36,22 @@
  * `--check` only validates the settings. `--rehearse` runs a [WarmUp] and a [StartRehearsal] and
  * exits, so that the build can record the loaded classes in the class-data archive.
  *
- * SIGTERM drains and stops the process. SIGHUP reloads the settings; an invalid file changes
- * nothing.
+ * SIGTERM drains and stops the process. SIGHUP reloads the settings, as does a change of the file;
+ * an invalid file changes nothing.
  */
 public fun main(arguments: Array<String>) {
     val current = AtomicReference<EdgeNode>()
     // Installed before anything else, because an unhandled SIGHUP terminates the JVM.
-    Signal.handle(Signal("HUP")) { current.get()?.let { reload(it) } }
+    Signal.handle(Signal("HUP")) { current.get()?.rereadSettings() }
     if ("--rehearse" in arguments) return warmUp()
-    val settings = readSettings(settingsPath())
+    val isCheck = "--check" in arguments
+    val file = SettingsFile(System.getenv(HostSettings.FILE_VARIABLE))
+    val settings = reportErrors(if (isCheck) file.read() else file.awaitValid())
     val hedgingShare = readHedgingShare(arguments)
     if (settings == null || hedgingShare == null) exitProcess(EXIT_INVALID_SETTINGS)
-    if ("--check" in arguments) return
+    if (isCheck) return
     val node = EdgeNode(settings, hedgingShare)
+    node.settingsFile = file
     current.set(node)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
@@ -72,12 +73,6 @@
     stopped.await()
 }
 
-private fun reload(node: EdgeNode) {
-    readSettings(settingsPath())?.let(node::reload)
-}
-
-private fun settingsPath(): String? = System.getenv(HostSettings.FILE_VARIABLE)
-
 private fun warmUp() = TrafficLoop().use { traffic ->
     runBlocking(traffic) {
         // A start also uses an event loop of its own thread.
@@ -104,16 +99,12 @@
     return share
 }
 
-/** Reads the settings at [path]; reports errors on standard error and returns `null` then. */
-internal fun readSettings(path: String?): HostSettings? = try {
-    if (path == null) {
-        throw SettingsException(listOf("${HostSettings.FILE_VARIABLE} is not set"))
+/** The settings of [reading]; reports errors on standard error and returns `null` then. */
+internal fun reportErrors(reading: SettingsFile.Reading): HostSettings? = when (reading) {
+    is SettingsFile.Reading.Valid -> reading.settings
+
+    is SettingsFile.Reading.Invalid -> {
+        reading.errors.forEach { System.err.println("settings: $it") }
+        null
     }
-    HostSettings.parse(File(path).readText())
-} catch (cause: SettingsException) {
-    cause.errors.forEach { System.err.println("settings: $it") }
-    null
-} catch (cause: IOException) {
-    System.err.println("settings: ${cause.message}")
-    null
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -131,6 +131,9 @@
     ) { fleet.hostCount }
     private val isFetchingManifest = AtomicBoolean()
 
+    /** Where the settings come from, if the node is to notice changes; set before [start]. */
+    internal var settingsFile: SettingsFile? = null
+
     private val firstManifest = CompletableDeferred<Unit>()
     private var warmUp: Job? = null
 
@@ -234,6 +237,7 @@
                 pool.evictStale()
                 storePool.evictStale()
                 status = statusPage()
+                settingsFile?.readIfChanged()?.let(::apply)
             }
         }
         registerGauges()
@@ -333,7 +337,23 @@
      */
     public fun reload(changed: HostSettings) {
         control.post { fleet.updateSeeds(changed.seeds) }
-        log.stateChange("settings reloaded", "seeds" to changed.seeds.map { it.toString() })
+        val isAllApplied =
+            changed.copy(seeds = settings.seeds, isFirstStart = settings.isFirstStart) == settings
+        log.stateChange(
+            "settings reloaded",
+            "seeds" to changed.seeds.map { it.toString() },
+            "needsRestart" to !isAllApplied
+        )
+    }
+
+    /** Reads [settingsFile] again, whether it has changed or not. */
+    internal fun rereadSettings() = control.post { settingsFile?.read()?.let(::apply) }
+
+    private fun apply(reading: SettingsFile.Reading) = when (reading) {
+        is SettingsFile.Reading.Valid -> reload(reading.settings)
+
+        is SettingsFile.Reading.Invalid ->
+            log.failure("settings not usable", null, "errors" to reading.errors)
     }
 
     override fun close() {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
@@ -13,7 +13,6 @@
 import org.bronzetide.http.ConnectionPool
 import org.bronzetide.http.Header
 import org.bronzetide.http.TrafficLoop
-import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SampleDocuments
 import org.bronzetide.platform.fleet.SocketAddress
 
@@ -46,7 +45,7 @@
         acceptors.forEach { it.start(this) }
         val nodes = listOf(LOOPBACK, OTHER_LOOPBACK).mapIndexed { index, ip ->
             val text = SampleDocuments.settings("rehearsal-$index", ip, firstPort + 2, store)
-            EdgeNode(readAsFile(text))
+            createNode(text)
         }
         try {
             nodes.forEach { it.start() }
@@ -67,13 +66,16 @@
         }
     }
 
-    private fun readAsFile(text: String): HostSettings {
-        val file = File.createTempFile("rehearsal", ".settings")
+    /** Creates a node whose settings file is deleted after the start, a change that it notices. */
+    private fun createNode(text: String): EdgeNode {
+        val written = File.createTempFile("rehearsal", ".settings")
         try {
-            file.writeText(text)
-            return checkNotNull(readSettings(file.path)) { "the sample settings are invalid" }
+            written.writeText(text)
+            val file = SettingsFile(written.path)
+            val settings = checkNotNull(reportErrors(file.awaitValid())) { "invalid sample" }
+            return EdgeNode(settings).also { it.settingsFile = file }
         } finally {
-            file.delete()
+            written.delete()
         }
     }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ProcessStartTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ProcessStartTest.kt
@@ -53,8 +53,61 @@
         assertThat(waiting.output).doesNotContain("Exception in thread")
     }
 
-    private fun start() = EdgeProcess(settings, File(directory, "log-${processes.size}"))
-        .also(processes::add)
+    /** Guards against a process that ends at its start, while its settings are being written. */
+    @Example
+    fun settingsThatAreCutShortAtTheStartAreReadAgain() {
+        for (cut in listOf(0, text.length / 2, text.indexOf("127.0.0.1:${store.port}") + 11)) {
+            settings.writeText(text.take(cut))
+            start().use { process ->
+                Thread.sleep(800)
+                settings.writeText(text)
+                assertThat(awaitServing()).describedAs("$cut: ${process.output}").isTrue()
+            }
+        }
+    }
+
+    @Example
+    fun settingsThatStayInvalidEndTheStartWithEachError() {
+        settings.writeText("zone=z1\nplatform.address=nowhere\n")
+        val process = start()
+        assertThat(process.awaitExit()).isEqualTo(STATUS_OF_INVALID_SETTINGS)
+        assertThat(process.output).contains("node_name is missing", "platform.address", "nowhere")
+        val check = start(listOf("--check"))
+        assertThat(check.awaitExit(CHECK_LIMIT_MS)).isEqualTo(STATUS_OF_INVALID_SETTINGS)
+    }
+
+    /** Guards against seeds of the past where a supervisor cannot send a signal. */
+    @Example
+    fun settingsThatChangeWithoutASignalAreApplied() {
+        val process = start()
+        awaitOutput(process, "\"started\"")
+        val changed = text.replace("seeds=", "seeds=127.0.0.9:4001")
+        settings.writeText(changed.take(changed.length / 3))
+        process.signal("HUP")
+        awaitOutput(process, "settings not usable")
+        settings.writeText(changed)
+        awaitOutput(process, "\"seeds\":[\"127.0.0.9:4001\"],\"needsRestart\":false")
+        settings.writeText(changed.replace("zone=z1", "zone=z2"))
+        awaitOutput(process, "\"needsRestart\":true")
+        assertThat(process.output.split("settings not usable")).hasSize(2)
+    }
+
+    /** Guards against a process that ends at its start, as its settings have changed meanwhile. */
+    @Example
+    fun hangUpAtAnyMomentEndsNoProcessWhoseParentIgnoresIt() {
+        val process = start(ignoresHangUp = true)
+        while ("\"started\"" !in process.output) {
+            process.signal("HUP")
+            assertThat(process.isRunning).isTrue()
+        }
+        settings.writeText(text.replace("seeds=", "seeds=127.0.0.9:4001"))
+        process.signal("HUP")
+        awaitOutput(process, "\"seeds\":[\"127.0.0.9:4001\"]")
+    }
+
+    private fun start(arguments: List<String> = emptyList(), ignoresHangUp: Boolean = false) =
+        EdgeProcess(settings, File(directory, "log-${processes.size}"), ignoresHangUp, arguments)
+            .also(processes::add)
 
     private fun awaitServing(): Boolean = await {
         try {
@@ -78,8 +131,12 @@
     }
 
     private companion object {
+        const val STATUS_OF_INVALID_SETTINGS = 2
         const val STATUS_OF_SIGTERM = 143
         const val STOP_LIMIT_MS = 1_500L
+
+        /** Less than what a start waits for the end of the writing. */
+        const val CHECK_LIMIT_MS = 1_500L
         const val WAIT_NS = 12_000_000_000L
     }
 }
