Streams go on at the version that began them, within one response

Callers received streams whose first events came from one software version and whose later ones came from another.

Cause: RequestForwarder.newTicket said nothing of the version that had begun the stream, so that the run that resumes a broken stream, replaces a silent target or repeats a failed resumption went to any target.

The version is now fixed before the first event is written to the caller: that of the target's entry as it was when the request was sent, as an id may be in use again with another version. From then on each ticket of the request names it (FleetTicket.version), and the forwarder checks it again where a run is sent and where a replacement takes over, which may have been chosen before the first event. The scheduler places such a ticket only at targets of that version; those that wait for one version have a round of their own, so that they neither hold up others nor count as ahead of them. With targets of other versions only, the ticket is refused at once and for good (no Retry-After), and the stream ends cut with "not resumed: no target of the stream's version". A ticket that is bound to a version is not subject to the choice of canaries nor to the preference for the new version during a rollout, but to the exposure budget and to decisions, and counts as exposed.

RolloutSchedulingTest has two cases for bound tickets. FleetExplanationTest also draws tickets with a version. hasSpareSlot now takes the ticket, Refuse.retryAfterMs may be null and isVersionAllowed is told whether the ticket is bound: existing tests were adapted to the signatures only.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.memory.OutputBuffer
+import org.bronzetide.edge.state.software
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -19,6 +20,7 @@
 import org.bronzetide.scheduling.fleet.HedgingDecision
 import org.bronzetide.scheduling.fleet.HedgingPolicy
 import org.bronzetide.scheduling.fleet.HedgingShare
+import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
 
 /** The status of the response that a caller received, with the reason for it. */
@@ -83,6 +85,7 @@
             output,
             clock,
             client.memory.events,
+            onStart = { version = checkNotNull(currentTarget).software },
             onFirstEvent = {
                 scheduler.onFirstEvent(ticketSequence)
                 recordWait(this)
@@ -98,8 +101,11 @@
         /** The bodies of responses, which are held until the caller has been answered. */
         val bodies = ArrayList<AutoCloseable>()
 
-        /** The target of the current send. */
-        var currentTargetId: String? = null
+        /** The target of the current send, as it was registered when the request was sent. */
+        var currentTarget: TargetEntry? = null
+
+        /** The version that the stream began with, whose targets alone may go on with it. */
+        var version: SoftwareVersion? = null
 
         /** When the current send was made, until it has responded or another run took over. */
         var waitingSinceMs: Long? = null
@@ -113,6 +119,10 @@
             output.end(call.deadlineAtMs - clock.nowMs(), write)
 
         fun takeReplacement(): Replacement? = replacement.also { replacement = null }
+
+        /** Whether [target] may send the events that the caller has not received yet. */
+        fun mayContinueAt(target: TargetEntry): Boolean =
+            version == null || target.software == version
     }
 
     /** A run whose target has begun to respond, and the ticket that it was sent for. */
@@ -143,6 +153,11 @@
         var result = send(state, decision)
         while (true) {
             val replacement = state.takeReplacement() ?: return result
+            // The stream may have begun at the other target after this one was chosen.
+            if (!state.mayContinueAt(replacement.beginning.target)) {
+                drop(replacement)
+                return result
+            }
             state.ticketSequence = replacement.ticketSequence
             result = complete(state, replacement.beginning)
         }
@@ -165,7 +180,11 @@
     private suspend fun awaitDecision(state: State): FleetDecision {
         val ticket = newTicket(state, state.avoid.toSet())
         state.ticketSequence = ticket.sequence
-        return scheduler.awaitDecision(ticket, state.call.route.name, state.sends == 0)
+        val decision = scheduler.awaitDecision(ticket, state.call.route.name, state.sends == 0)
+        if (state.relay.isStarted) {
+            metrics.onStreamResumption((decision as? FleetDecision.Refuse)?.reason ?: "sent")
+        }
+        return decision
     }
 
     private fun newTicket(state: State, avoid: Set<String>): FleetTicket {
@@ -182,7 +201,8 @@
             maxRetryAfterMs = (call.deadlineAtMs - clock.nowMs()) / RETRY_AFTER_DIVISOR,
             sharedParts = call.sharedParts,
             account = call.account?.name,
-            endByMs = call.deadlineAtMs
+            endByMs = call.deadlineAtMs,
+            version = state.version
         )
     }
 
@@ -208,13 +228,18 @@
                 state.avoid += targetId
                 return SendResult.NotRun("target is gone")
             }
+            // The id may be in use again since the decision.
+            if (!state.mayContinueAt(target)) {
+                state.avoid += targetId
+                return SendResult.NotRun("target has another version")
+            }
             // The slot may be that of a request that was just ended, as this one is about to be.
             if (processEnd.isReached) return SendResult.NotRun("the process ends")
             onSend(state, decision)
             val policy = stallPolicy(state, decision.firstEventMs, Hedge(state, targetId))
             isSlotInUse = true
             val run = state.call.runs.Run()
-            return awaitAttempt(state, targetId, run) { attempt(state, target, policy, run) }
+            return awaitAttempt(state, target, run) { attempt(state, target, policy, run) }
         } finally {
             if (!isSlotInUse) scheduler.release(state.ticketSequence, FleetOutcome.UNSENT)
         }
@@ -251,7 +276,7 @@
         beginning: TargetClient.Beginning.Responding
     ): SendResult {
         val run = state.call.runs.Run().apply { onSend() }
-        return awaitAttempt(state, beginning.target.id, run) {
+        return awaitAttempt(state, beginning.target, run) {
             val policy = stallPolicy(state, 0)
             client.complete(state.call, beginning, state.relay, policy, state.bodies)
         }
@@ -308,11 +333,11 @@
 
     private suspend fun awaitAttempt(
         state: State,
-        targetId: String,
+        target: TargetEntry,
         run: RunRecord.Run,
         block: suspend () -> TargetClient.Attempt
     ): SendResult {
-        state.currentTargetId = targetId
+        state.currentTarget = target
         var outcome = FleetOutcome.CANCELLED
         var msPerEvent = 0.0
         val result = try {
@@ -328,9 +353,9 @@
             FleetOutcome.ANSWERED -> Unit
 
             // The run was slower than its hedge, which is not a failure.
-            FleetOutcome.CANCELLED -> state.avoid += targetId
+            FleetOutcome.CANCELLED -> state.avoid += target.id
 
-            else -> onSendFailed(state, targetId, outcome, result)
+            else -> onSendFailed(state, target.id, outcome, result)
         }
         return result
     }
@@ -363,7 +388,7 @@
         val call = state.call
         if (isLastRun(state)) return false
         if (!retryBudget.tryRetry(call.service, clock.nowMs())) return false
-        val current = state.currentTargetId
+        val current = state.currentTarget?.id
         val ticket = newTicket(state, state.avoid + setOfNotNull(current))
         val decision = scheduler.awaitDecision(ticket, call.route.name, isFirst = false)
             as? FleetDecision.Send ?: return false
@@ -390,7 +415,8 @@
         val run = call.runs.Run()
         try {
             // A second run at the silent target would not help.
-            val target = findTarget(decision.targetId)?.takeIf { it.id != firstRun.targetId }
+            val target = findTarget(decision.targetId)
+                ?.takeIf { it.id != firstRun.targetId && state.mayContinueAt(it) }
                 ?: return false
             onSend(state, decision, firstRun)
             outcome = FleetOutcome.CANCELLED
@@ -598,8 +624,9 @@
     }
 
     private suspend fun refuse(state: State): ForwardingResult {
-        val retryAfterMs = state.refusal?.retryAfterMs ?: DEFAULT_RETRY_AFTER_MS
-        val reason = state.refusal?.reason ?: state.lastResult?.toString() ?: unansweredReason()
+        val refusal = state.refusal
+        val retryAfterMs = if (refusal == null) DEFAULT_RETRY_AFTER_MS else refusal.retryAfterMs
+        val reason = refusal?.reason ?: state.lastResult?.toString() ?: unansweredReason()
         val headers = refusalHeaders(state.call.requestId, retryAfterMs)
         state.end { send(UNAVAILABLE, headers, ByteArray(0)) }
         return ForwardingResult(UNAVAILABLE, reason, isConnectionReusable = true, hasNotRun = true)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/SchedulerAdapter.kt
@@ -63,7 +63,7 @@
         control.post {
             val nowMs = clock.nowMs()
             try {
-                if (scheduler.hasSpareSlot(ticket.service, ticket.avoid, nowMs)) {
+                if (scheduler.hasSpareSlot(ticket, nowMs)) {
                     scheduler.enroll(ticket, nowMs) {
                         notifyOfSend(ticket, it, route, isFirst = false)
                         result.complete(it)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/StreamRelay.kt
@@ -17,6 +17,9 @@
     private val clock: MonotonicClock,
     /** Holds the unfinished events of all streams. */
     private val eventMemory: ByteCredits,
+    /** Called before the first event of the stream is written to the caller. */
+    private val onStart: () -> Unit,
+    /** Called on the first event of each run. */
     private val onFirstEvent: () -> Unit,
     /** Called at most once in each run with the average milliseconds between its first events. */
     private val onEventInterval: (Double) -> Unit
@@ -126,7 +129,10 @@
         response: IncomingResponse,
         events: List<EventSplitter.Event>
     ) {
-        if (!isStarted) startResponse(response)
+        if (!isStarted) {
+            onStart()
+            startResponse(response)
+        }
         output.write(joined(events))
         val nowMs = clock.nowMs()
         if (eventCount == 0) {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/rollout/RolloutControl.kt
@@ -59,8 +59,12 @@
 
     /** Makes [scheduler] ask for the versions that may be used, and registers the gauges. */
     fun start(scheduler: FleetScheduler) {
-        scheduler.isVersionAllowed = { policy.isAllowed(it, clock.nowMs()) }
-        scheduler.wouldAllowVersion = { policy.wouldAllow(it, clock.nowMs()) }
+        scheduler.isVersionAllowed = { target, isBound ->
+            policy.isAllowed(target, clock.nowMs(), isBound)
+        }
+        scheduler.wouldAllowVersion = { target, isBound ->
+            policy.wouldAllow(target, clock.nowMs(), isBound)
+        }
         policy.onStop = { order, evidence ->
             log.stateChange(
                 "rollout stopped",
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/Departures.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/Departures.kt
@@ -2,6 +2,7 @@
 
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.TargetEntry
+import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.fleet.TargetRef
 import org.bronzetide.scheduling.fleet.TargetStart
 
@@ -52,3 +53,6 @@
 
 /** This start of the target. */
 internal val TargetEntry.ref: TargetRef get() = TargetRef(id, TargetStart(startHash))
+
+/** The version that this start of the target runs. */
+internal val TargetEntry.software: SoftwareVersion get() = SoftwareVersion.of(version, ref)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -35,6 +35,10 @@
     fun onFailedSend(outcome: String) = Counter.builder("bronzetide.edge.failed.sends")
         .tag("outcome", outcome).register(registry).increment()
 
+    /** Counts a run that is to resume a broken stream: `sent`, or why none could be sent. */
+    fun onStreamResumption(outcome: String) = Counter.builder("bronzetide.edge.stream.resumptions")
+        .tag("outcome", outcome).register(registry).increment()
+
     /** Counts a request that was due for a hedge, by what became of the hedge. */
     fun onHedge(outcome: String) = Counter.builder("bronzetide.edge.hedges")
         .tag("outcome", outcome).register(registry).increment()
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/EdgeTestEnvironment.kt
@@ -42,24 +42,35 @@
         id: String,
         service: String = "api",
         handle: suspend (IncomingRequest, CallerConnection) -> Boolean
+    ) {
+        startTargetOf("v1", id, service, handle)
+    }
+
+    /** Does the same with a target that states [version]. */
+    fun startTargetOf(
+        version: String?,
+        id: String,
+        service: String = "api",
+        handle: suspend (IncomingRequest, CallerConnection) -> Boolean
     ) {
         val server = StandInServer { request, _, connection ->
             arrivals += request
             handle(request, connection)
         }
         servers += server
-        writeEntry(id, service, server.port, "ready")
+        writeEntry(id, service, server.port, "ready", version)
     }
 
     /** Starts a target that answers each request. */
     fun startSoundTarget(id: String) = startTarget(id, handle = ::sendSignedResponse)
 
-    fun writeEntry(id: String, service: String, port: Int, state: String) = store.write(
-        "servers",
-        id,
-        """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","slots":8,
-            "state":"$state","version":"v1"}"""
-    )
+    fun writeEntry(id: String, service: String, port: Int, state: String, version: String? = "v1") =
+        store.write(
+            "servers",
+            id,
+            """{"service":"$service","address":"127.0.0.1:$port","zone":"z1","slots":8,
+                "state":"$state"${version?.let { ",\"version\":\"$it\"" }.orEmpty()}}"""
+        )
 
     fun writeManifest(version: Int = 1, routes: String = ROUTES) = store.write(
         "config",
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
@@ -47,8 +47,7 @@
         ownDemand: Int,
         nowMs: Long
     ): FleetExplanation {
-        val queue = waiting.inDispatchOrder(nowMs)
-            .filter { it.entry.ticket.service == ticket.service }
+        val queue = queueOf(ticket, nowMs)
         val position = queue.indexOfFirst { it.entry.ticket.sequence == ticket.sequence }
         val rank = queue[position].rank
         val placement = place(ticket, rank, nowMs)
@@ -61,9 +60,9 @@
                 { it.score }
             )
         )
-        val restMs = inService.filter { !it.spec.isLeaving }.restMs(nowMs)
-        val ahead = aheadOf(queue.take(position), restMs, nowMs)
-        val verdict = refusal(ticket, restMs, nowMs) ?: when {
+        val active = inService.filter { !it.spec.isLeaving }
+        val ahead = aheadOf(queue.take(position), active, nowMs)
+        val verdict = refusal(ticket, active, nowMs) ?: when {
             !ahead.isBlocking && placement is Placement.Found ->
                 Verdict.Send(candidates.first().id)
 
@@ -92,6 +91,13 @@
         )
     }
 
+    /** The tickets that compete with [ticket], in the order in which they are decided on. */
+    private fun queueOf(ticket: FleetTicket, nowMs: Long): List<WaitingQueue.RankedEntry> =
+        waiting.inDispatchOrder(nowMs).filter {
+            val other = it.entry.ticket
+            other.service == ticket.service && other.version == ticket.version
+        }
+
     private fun isTooLate(ticket: FleetTicket, rank: Int, ahead: Ahead, nowMs: Long): Boolean =
         ahead.waitingCount > 0 &&
             !scheduler.mayWait(
@@ -106,10 +112,14 @@
     private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement =
         scheduler.place(ticket, rank, nowMs, scheduler.wouldAllowVersion)
 
-    /** What the tickets ahead of the explained one, [entries], leave to it. */
-    private fun aheadOf(entries: List<WaitingQueue.RankedEntry>, restMs: Long, nowMs: Long): Ahead {
+    /** What the tickets ahead of the explained one, [entries] of its version, leave to it. */
+    private fun aheadOf(
+        entries: List<WaitingQueue.RankedEntry>,
+        active: List<TargetLoad>,
+        nowMs: Long
+    ): Ahead {
         val ahead = Ahead()
-        entries.filter { refusal(it.entry.ticket, restMs, nowMs) == null }.forEach {
+        entries.filter { refusal(it.entry.ticket, active, nowMs) == null }.forEach {
             val placement =
                 if (ahead.isBlocking) null else place(it.entry.ticket, it.rank, nowMs)
             when (placement) {
@@ -139,11 +149,18 @@
             get() = isFull || unsuitableCount > FleetScheduler.MAX_UNSUITABLE
     }
 
-    private fun refusal(ticket: FleetTicket, restMs: Long, nowMs: Long): Verdict.Refuse? {
+    /** Why [ticket] is refused whatever is free among the [active] targets of its service. */
+    private fun refusal(
+        ticket: FleetTicket,
+        active: List<TargetLoad>,
+        nowMs: Long
+    ): Verdict.Refuse? {
+        val restMs = active.acceptedBy(ticket).restMs(nowMs)
         val blocked = scheduler.poisonParts.findBlocked(ticket.sharedParts)
         return when {
             blocked != null -> Verdict.Refuse("prompt part ${blocked.id} crashes targets")
             nowMs > ticket.startByMs -> Verdict.Refuse("no target in time")
+            active.lackVersionOf(ticket) -> Verdict.Refuse(FleetScheduler.VERSION_GONE)
             nowMs + restMs > ticket.startByMs -> Verdict.Refuse("all targets rest")
             else -> null
         }
@@ -161,6 +178,7 @@
             Standing.NO_PERMIT -> "a permit for a limited target"
             Standing.EJECTED -> "a target that is not ejected"
             Standing.RESTING -> "a target that wants requests"
+            Standing.OTHER_VERSION -> "a target of the stream's version"
             Standing.LEAVING -> "a target that does not leave"
         }
 
@@ -192,13 +210,15 @@
         val isLimited = limits.perSecond(load.spec.ref) != null
         return when {
             load.spec.isLeaving -> Standing.LEAVING
+            !ticket.accepts(load.spec) -> Standing.OTHER_VERSION
             load.restingUntilMs > nowMs -> Standing.RESTING
             load !in options.usable -> Standing.EJECTED
             !limits.maySend(load.spec.ref, nowMs) -> Standing.NO_PERMIT
             !options.counts.isFree(load, reserved = 0) -> Standing.FULL
             !isLimited && options.isShareUsed -> Standing.SHARE_USED
             !options.counts.isFree(load, options.reservedSlots) -> Standing.RESERVED
-            !scheduler.wouldAllowVersion(load.spec) -> Standing.VERSION_NOT_ALLOWED
+            !scheduler.wouldAllowVersion(load.spec, ticket.version != null) ->
+                Standing.VERSION_NOT_ALLOWED
             placement is Placement.Unsuitable -> Standing.TOO_SLOW
             isTooSlow(load, options, ticket, nowMs) -> Standing.TOO_SLOW
             load.isSuspectedByPeers -> Standing.SUSPECTED
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
@@ -7,7 +7,10 @@
     val rank: Int,
     /** What the ticket's account got recently, by which the ticket is ranked. */
     val shareBand: ShareBand,
-    /** The requests of the service on this host that would be sent before the ticket. */
+    /**
+     * The requests of the service on this host that would be sent before the ticket and, as it
+     * does, must go to one version or may go to any.
+     */
     val aheadCount: Int,
     /** The requests of the service that run or wait on this host, without the ticket. */
     val ownDemand: Int,
@@ -62,6 +65,9 @@
 
         /** It wants no requests from this host for a while. */
         RESTING,
+
+        /** It does not run the version that the ticket must go to. */
+        OTHER_VERSION,
         LEAVING
     }
 
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -41,14 +41,17 @@
      */
     public var hostCount: Int by fleet::hostCount
 
-    /** Whether a target may get the next request, by its version; asked only of free targets. */
-    public var isVersionAllowed: (FleetTarget) -> Boolean = { true }
+    /**
+     * Whether a target may get the next request while versions are rolled out; asked only of free
+     * targets. `isBound` tells that the request must go to the version of that target.
+     */
+    public var isVersionAllowed: (FleetTarget, isBound: Boolean) -> Boolean = { _, _ -> true }
 
     /**
      * What [isVersionAllowed] would return, without an effect on its later answers; asked for
      * explanations.
      */
-    public var wouldAllowVersion: (FleetTarget) -> Boolean = { true }
+    public var wouldAllowVersion: (FleetTarget, isBound: Boolean) -> Boolean = { _, _ -> true }
 
     /** Explains decisions by the same rules, see [explain]. */
     internal val explainer: FleetExplainer
@@ -153,11 +156,13 @@
             .associateWith { ownDemand(it, nowMs) }.filterValues { it.isNotEmpty() }
 
     /**
-     * Whether [service] has capacity to spare at [nowMs]: the requests of all hosts, as last
-     * reported, are fewer than its slots, none of this host waits, and a target not in [avoid] has
-     * a free slot. A service with targets that limit their requests per second has none to spare.
+     * Whether the service of [ticket] has capacity to spare at [nowMs]: the requests of all hosts,
+     * as last reported, are fewer than its slots, none of this host waits, and a target of the
+     * ticket's version that it does not avoid has a free slot. A service with targets that limit
+     * their requests per second has none to spare.
      */
-    public fun hasSpareSlot(service: String, avoid: Set<String>, nowMs: Long): Boolean {
+    public fun hasSpareSlot(ticket: FleetTicket, nowMs: Long): Boolean {
+        val service = ticket.service
         if (waiting.count(service) > 0) return false
         val usable = activeTargets[service].orEmpty().usable(nowMs)
         if (usable.any { limits.perSecond(it.spec.ref) != null }) return false
@@ -165,7 +170,10 @@
             fleet.demands[service]?.values.orEmpty().sum()
         if (demand >= usable.sumOf { it.spec.slots }) return false
         return usable.any {
-            it.spec.id !in avoid && !it.isSuspectedByPeers && it.count < it.spec.slots
+            it.spec.id !in ticket.avoid &&
+                ticket.accepts(it.spec) &&
+                !it.isSuspectedByPeers &&
+                it.count < it.spec.slots
         }
     }
 
@@ -255,13 +263,14 @@
     /** Sends waiting tickets to free targets, and refuses those that cannot start in time. */
     public fun decide(nowMs: Long) {
         if (waiting.size == 0) return
-        val rounds = HashMap<String, Round>()
+        val rounds = HashMap<Pair<String, SoftwareVersion?>, Round>()
         val decided = ArrayList<Pair<WaitingQueue.Entry, FleetDecision>>()
         try {
             for (ranked in waiting.inDispatchOrder(nowMs)) {
                 val ticket = ranked.entry.ticket
-                val round = rounds.getOrPut(ticket.service) {
-                    Round(activeTargets[ticket.service].orEmpty().restMs(nowMs))
+                val round = rounds.getOrPut(ticket.service to ticket.version) {
+                    val active = activeTargets[ticket.service].orEmpty()
+                    Round(active.lackVersionOf(ticket), active.acceptedBy(ticket).restMs(nowMs))
                 }
                 val decision = decisionFor(ticket, ranked.rank, round, nowMs) ?: continue
                 waiting.remove(ticket.sequence)
@@ -305,7 +314,7 @@
 
     /**
      * Returns the decision on [ticket], or `null` if it must wait. [round] holds what was decided
-     * on the tickets of its service that come before it.
+     * on the tickets of its service and version that come before it.
      */
     private fun decisionFor(
         ticket: FleetTicket,
@@ -318,10 +327,8 @@
             return FleetDecision.Refuse("prompt part ${part.id} crashes targets", remainingMs)
         }
         if (nowMs > ticket.startByMs) return refuse(ticket, "no target in time", nowMs)
-        if (nowMs + round.restMs > ticket.startByMs) {
-            val spreadMs = random.nextLong(round.restMs / 2 + 1)
-            return FleetDecision.Refuse("all targets rest", round.restMs + spreadMs)
-        }
+        val refusal = round.refusalOf(ticket, nowMs)
+        if (refusal != null) return refusal
         if (round.mayPlace) {
             when (val placement = place(ticket, rank, nowMs)) {
                 is Placement.Found -> {
@@ -375,10 +382,15 @@
             )
     }
 
-    /** What was decided on the waiting tickets of one service so far. */
-    private class Round(
+    /**
+     * What was decided so far on the waiting tickets of one service that must go to the same
+     * version, or may go to any. Those that wait for one version do not hold up the others.
+     */
+    private inner class Round(
+        /** Whether none of the service's targets runs the version. */
+        private val isVersionGone: Boolean,
         /** The time until a target wants requests. */
-        val restMs: Long
+        private val restMs: Long
     ) {
         /** The tickets that go on waiting. */
         var ahead = 0
@@ -390,10 +402,18 @@
         var unsuitableCount = 0
 
         val mayPlace: Boolean get() = !isFull && unsuitableCount <= MAX_UNSUITABLE
+
+        fun refusalOf(ticket: FleetTicket, nowMs: Long): FleetDecision.Refuse? {
+            if (isVersionGone) return FleetDecision.Refuse(VERSION_GONE, retryAfterMs = null)
+            if (nowMs + restMs <= ticket.startByMs) return null
+            val spreadMs = random.nextLong(restMs / 2 + 1)
+            return FleetDecision.Refuse("all targets rest", restMs + spreadMs)
+        }
     }
 
-    /** The targets of one service as they are open to tickets of one rank. */
+    /** The targets of one service as they are open to a ticket. */
     internal class Options(
+        /** The targets of the ticket's version that do not rest and are not ejected. */
         val usable: List<TargetLoad>,
         val counts: ExpectedCounts,
         /** Whether this host uses its share of the slots of targets without a limit. */
@@ -428,7 +448,8 @@
         return FleetDecision.Refuse(reason, retryAfterMs)
     }
 
-    private fun optionsFor(service: String, rank: Int, nowMs: Long): Options {
+    private fun optionsFor(ticket: FleetTicket, rank: Int, nowMs: Long): Options {
+        val service = ticket.service
         val usable = activeTargets[service].orEmpty().usable(nowMs)
         val counts =
             fleet.expectedCounts(service, overloadPolicies.of(service).typicalRunMs, nowMs)
@@ -438,18 +459,21 @@
         val open = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
             others.takeUnless { isShareUsed }.orEmpty()
         val reserved = fleet.reservedSlots(service, rank, usable)
-        val free = open.filter { counts.isFree(it, reserved) }
-        return Options(usable, counts, isShareUsed, reserved, free)
+        val free = open.filter { ticket.accepts(it.spec) && counts.isFree(it, reserved) }
+        return Options(usable.acceptedBy(ticket), counts, isShareUsed, reserved, free)
     }
 
-    /** Finds the targets that [ticket] may be sent to, whose versions [isAllowed] accepts. */
+    /**
+     * Finds the targets that [ticket] may be sent to: those of the version that it must go to, if
+     * [isAllowed] accepts them as well.
+     */
     internal fun place(
         ticket: FleetTicket,
         rank: Int,
         nowMs: Long,
-        isAllowed: (FleetTarget) -> Boolean = isVersionAllowed
+        isAllowed: (FleetTarget, isBound: Boolean) -> Boolean = isVersionAllowed
     ): Placement {
-        val options = optionsFor(ticket.service, rank, nowMs)
+        val options = optionsFor(ticket, rank, nowMs)
         val free = options.free
         if (free.isEmpty()) return Placement.NoneFree(options)
         val suitable = free.filter { selector.canEndInTime(it, ticket, nowMs) }
@@ -458,7 +482,8 @@
             nowMs + MIN_WAIT_MS < ticket.startByMs &&
             options.usable.any { selector.canEndInTime(it, ticket, nowMs) }
         if (isWorthWaiting) return Placement.Unsuitable(options)
-        val allowed = suitable.ifEmpty { free }.filter { isAllowed(it.spec) }
+        val isBound = ticket.version != null
+        val allowed = suitable.ifEmpty { free }.filter { isAllowed(it.spec, isBound) }
         if (allowed.isEmpty()) return Placement.NoneFree(options)
         val untried = allowed.filter { it.spec.id !in ticket.avoid }.ifEmpty { allowed }
         val unsuspected = untried.filter { !it.isSuspectedByPeers }.ifEmpty { untried }
@@ -558,6 +583,9 @@
         /** Bounds the work of one decision on tickets that no free target suits. */
         const val MAX_UNSUITABLE = 8
 
+        /** The reason for the refusal of a ticket whose version has no target left. */
+        const val VERSION_GONE = "no target of the stream's version"
+
         /** With less time, a ticket takes the free target that suits it best. */
         private const val MIN_WAIT_MS = 100L
 
@@ -569,6 +597,17 @@
 /** At most half of the targets of a service may be ejected at once. */
 private const val MAX_EJECTED_DIVISOR = 2
 
+/** The targets that run the version that [ticket] must go to. */
+internal fun List<TargetLoad>.acceptedBy(ticket: FleetTicket): List<TargetLoad> =
+    if (ticket.version == null) this else filter { ticket.accepts(it.spec) }
+
+/**
+ * Whether there are targets, but none of the version that [ticket] must go to. While none is known
+ * at all, as after the start of this host, the ticket waits like any other.
+ */
+internal fun List<TargetLoad>.lackVersionOf(ticket: FleetTicket): Boolean =
+    isNotEmpty() && none { ticket.accepts(it.spec) }
+
 /** The time until the first of these targets wants requests; 0 if one does now. */
 internal fun List<TargetLoad>.restMs(nowMs: Long): Long {
     val firstMs = minOfOrNull { it.restingUntilMs } ?: nowMs
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetTicket.kt
@@ -25,8 +25,14 @@
     /** The client account, or `null` for a request without one. */
     val account: String? = null,
     /** The time by which the whole response must have arrived. */
-    val endByMs: Long = Long.MAX_VALUE
-)
+    val endByMs: Long = Long.MAX_VALUE,
+    /** The only version whose targets may get the request, or `null` if any may. */
+    val version: SoftwareVersion? = null
+) {
+    /** Whether [target] runs the version that the request must go to. */
+    internal fun accepts(target: FleetTarget): Boolean =
+        version == null || target.software == version
+}
 
 /** The decision on a ticket. */
 public sealed class FleetDecision {
@@ -36,8 +42,11 @@
      */
     public data class Send(val targetId: String, val firstEventMs: Long = 0) : FleetDecision()
 
-    /** No target is free in time; a retry may succeed after [retryAfterMs] milliseconds. */
-    public data class Refuse(val reason: String, val retryAfterMs: Long) : FleetDecision()
+    /**
+     * No target is free in time; a retry may succeed after [retryAfterMs] milliseconds, or never if
+     * that is `null`.
+     */
+    public data class Refuse(val reason: String, val retryAfterMs: Long?) : FleetDecision()
 }
 
 /** How a request that was sent to a target ended there. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/RolloutPolicy.kt
@@ -123,9 +123,11 @@
 
     /**
      * Whether [target] may get the next request; asked of all free targets for each decision, and
-     * one of those allowed then gets it.
+     * one of those allowed then gets it. A request that [isBound] to the version of [target] can go
+     * nowhere else, so that neither the choice of canaries nor a preference for the new version
+     * withholds it.
      */
-    public fun isAllowed(target: FleetTarget, nowMs: Long): Boolean {
+    public fun isAllowed(target: FleetTarget, nowMs: Long, isBound: Boolean = false): Boolean {
         val rollout = rollouts[target.service]
         if (rollout == null || rollout.decision != RolloutDecision.Undecided) {
             return mayUse(target.service, target.version, nowMs)
@@ -134,6 +136,7 @@
         val isNew = target.version == rollout.order.to.name
         val isAllowed = when {
             !mayUse(target.service, target.version, nowMs) -> false
+            isBound -> true
             isNew -> rollout.isCanary(target.id, nowMs)
             else -> !isForNew(rollout, nowMs)
         }
@@ -146,8 +149,9 @@
      * it can be asked at any time without an effect on decisions. After a choice without an allowed
      * target, [isAllowed] may still withhold some targets that have become free since.
      */
-    public fun wouldAllow(target: FleetTarget, nowMs: Long): Boolean {
+    public fun wouldAllow(target: FleetTarget, nowMs: Long, isBound: Boolean = false): Boolean {
         if (!mayUse(target.service, target.version, nowMs)) return false
+        if (isBound) return true
         val rollout = rollouts[target.service]
         return when {
             rollout == null || rollout.decision != RolloutDecision.Undecided -> true
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetExplanationTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetExplanationTest.kt
@@ -47,6 +47,7 @@
                 "a free target of an allowed version",
                 "a free target on which the response can end in time",
                 "requests ahead of it",
+                "no target of the stream's version",
                 "all targets rest",
                 "too many ahead"
             ).forEach { coverage.check(it).count(Predicate { count -> count > 0 }) }
@@ -148,8 +149,8 @@
             }
             scheduler.updateTargets(targets)
             scheduler.hostCount = random.nextInt(1, 40)
-            scheduler.isVersionAllowed = { it.version != withheldVersion }
-            scheduler.wouldAllowVersion = { it.version != withheldVersion }
+            scheduler.isVersionAllowed = { target, _ -> target.version != withheldVersion }
+            scheduler.wouldAllowVersion = { target, _ -> target.version != withheldVersion }
         }
 
         /** Lets time pass, and perhaps a request end, a target rest, or other hosts report. */
@@ -191,7 +192,8 @@
             dueAtMs = nowMs + random.nextLong(400),
             startByMs = nowMs + random.nextLong(800),
             account = (ACCOUNTS + null).random(random),
-            endByMs = nowMs + random.nextLong(300, 1_500)
+            endByMs = nowMs + random.nextLong(300, 1_500),
+            version = listOf(null, null, "v0", "v1").random(random)?.let(::SoftwareVersion)
         )
 
         fun enroll(ticket: FleetTicket) =
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetHarness.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetHarness.kt
@@ -182,7 +182,7 @@
                         request.refusedAtMs = nowMs
                         request.refusal = decision.reason
                         limiter.refund(request.account, units)
-                        returnLater(request, decision.retryAfterMs)
+                        returnLater(request, checkNotNull(decision.retryAfterMs))
                     }
                 }
             }
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/FleetSchedulerTest.kt
@@ -323,7 +323,8 @@
     @Example
     fun serviceHasASpareSlotOnlyWhileNoRequestWaitsAndAnotherTargetIsFree() {
         scheduler.updateTargets(listOf(target("t1", slots = 1), target("t2", slots = 1)))
-        fun hasSpareSlot(vararg avoid: String) = scheduler.hasSpareSlot("model", avoid.toSet(), 0)
+        fun hasSpareSlot(vararg avoid: String) =
+            scheduler.hasSpareSlot(ticket(99, 1, 10_000).copy(avoid = avoid.toSet()), 0)
         enroll(1)
         val used = (sent.getValue(1) as FleetDecision.Send).targetId
         assertThat(hasSpareSlot(used)).isTrue()
@@ -345,9 +346,9 @@
     fun serviceWithALimitedTargetHasNoSpareSlot() {
         scheduler.updateTargets(listOf(target("t1"), target("t2")))
         enroll(1)
-        assertThat(scheduler.hasSpareSlot("model", emptySet(), 0)).isTrue()
+        assertThat(scheduler.hasSpareSlot(ticket(99, 1, 10_000), 0)).isTrue()
         scheduler.onLimit(1, 5.0, 0)
-        assertThat(scheduler.hasSpareSlot("model", emptySet(), 0)).isFalse()
+        assertThat(scheduler.hasSpareSlot(ticket(99, 1, 10_000), 0)).isFalse()
     }
 
     private class FailingRandom : Random() {
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/HedgingLoadTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/HedgingLoadTest.kt
@@ -116,7 +116,7 @@
 
         private fun hedge(request: Request, firstId: String) {
             val ticket = newTicket(setOf(firstId))
-            val hasSpareSlot = scheduler.hasSpareSlot(SERVICE, ticket.avoid, nowMs)
+            val hasSpareSlot = scheduler.hasSpareSlot(ticket, nowMs)
             val decision = policy.decide(SERVICE, hasSpareSlot) { budget.tryRetry(SERVICE, nowMs) }
             if (decision != HedgingDecision.SEND) {
                 refusedHedges++
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutSchedulingTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/RolloutSchedulingTest.kt
@@ -44,18 +44,57 @@
         assertThat(exposed()).isEqualTo(1)
     }
 
+    /** Guards against streams that wait, or go on at the other version, as one is preferred. */
+    @Example
+    fun boundRequestsGoToTheirVersionAtOnceAndAreCounted() {
+        start(oldSlots = 50, newSlots = 50)
+        nowMs = BURST_MS
+        policy.onHeard(nowMs)
+        repeat(40) {
+            val exposedBefore = exposed()
+            val budgetBefore = policy.exposedCount
+            enroll(SoftwareVersion("1"))
+            assertThat(sent.last().targetId).isEqualTo("old")
+            assertThat(policy.exposedCount).isEqualTo(budgetBefore)
+            enroll(SoftwareVersion("2"))
+            assertThat(policy.exposedCount).isEqualTo(exposed().toLong())
+            assertThat(exposed() - exposedBefore).isBetween(0, 1)
+            (1..sequences).forEach(::end)
+        }
+        assertThat(exposed()).isPositive()
+        assertThat(exposed().toDouble()).isLessThanOrEqualTo(SHARE * sent.size + SLACK)
+    }
+
+    /** Guards against a budget that bound and other requests of one round spend twice. */
+    @Example
+    fun mixedQueueThatIsSentAtOnceKeepsToTheBudget() {
+        start(oldSlots = 4, newSlots = 100)
+        val versions = listOf(null, SoftwareVersion("2"), SoftwareVersion("1"))
+        repeat(REQUESTS) { enroll(versions[it % versions.size]) }
+        while (nowMs < DURATION_MS) {
+            nowMs += STEP_MS
+            policy.onHeard(nowMs)
+            (1..sequences).forEach(::end)
+            assertThat(exposed().toDouble()).isLessThanOrEqualTo(SHARE * sent.size + SLACK)
+            assertThat(policy.exposedCount).isEqualTo(exposed().toLong())
+        }
+    }
+
     private fun start(oldSlots: Int, newSlots: Int) {
         val targets = listOf(target("old", "1", oldSlots), target("new", "2", newSlots))
-        scheduler.isVersionAllowed = { policy.isAllowed(it, nowMs) }
+        scheduler.isVersionAllowed = { target, isBound ->
+            policy.isAllowed(target, nowMs, isBound)
+        }
         scheduler.updateTargets(targets)
         policy.updateTargets(targets)
         policy.onHeard(nowMs)
         policy.start(RolloutOrder("app", ServiceVersion("2"), DURATION_MS), 0, nowMs)
     }
 
-    private fun enroll() {
+    private fun enroll(version: SoftwareVersion? = null) {
         val sequence = ++sequences
-        val ticket = FleetTicket(sequence, "app", 0, 10, 0, DURATION_MS, DURATION_MS)
+        val ticket =
+            FleetTicket(sequence, "app", 0, 10, 0, DURATION_MS, DURATION_MS, version = version)
         scheduler.enroll(ticket, nowMs) {
             if (it !is FleetDecision.Send) return@enroll
             sent += it
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/TargetLimitsTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/TargetLimitsTest.kt
@@ -94,7 +94,7 @@
         refused.clear()
         (1L..60L).forEach { enroll(100 + it, nowMs = 0, startByMs = 1_000) }
         scheduler.decide(nowMs = 1_001)
-        return refused.maxOf { it.retryAfterMs }
+        return refused.maxOf { checkNotNull(it.retryAfterMs) }
     }
 
     private fun enroll(sequence: Long, nowMs: Long = 0, startByMs: Long = 100_000) {
