FleetExplainer: tickets of another version ahead may take the slot

Cause: the explanation looked only at the tickets of the same version ahead, and missed that one of another version takes the slot which opens as the explained ticket increases this host's share. It now follows all tickets of the service in their order, with what holds up those of each version kept apart, as the scheduler does.

--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
@@ -47,7 +47,8 @@
         ownDemand: Int,
         nowMs: Long
     ): FleetExplanation {
-        val queue = queueOf(ticket, nowMs)
+        val queue = waiting.inDispatchOrder(nowMs)
+            .filter { it.entry.ticket.service == ticket.service }
         val position = queue.indexOfFirst { it.entry.ticket.sequence == ticket.sequence }
         val rank = queue[position].rank
         val placement = place(ticket, rank, nowMs)
@@ -61,7 +62,7 @@
             )
         )
         val active = inService.filter { !it.spec.isLeaving }
-        val ahead = aheadOf(queue.take(position), active, nowMs)
+        val ahead = aheadOf(ticket, queue.take(position), active, nowMs)
         val verdict = refusal(ticket, active, nowMs) ?: when {
             !ahead.isBlocking && placement is Placement.Found ->
                 Verdict.Send(candidates.first().id)
@@ -91,13 +92,6 @@
         )
     }
 
-    /** The tickets that compete with [ticket], in the order in which they are decided on. */
-    private fun queueOf(ticket: FleetTicket, nowMs: Long): List<WaitingQueue.RankedEntry> =
-        waiting.inDispatchOrder(nowMs).filter {
-            val other = it.entry.ticket
-            other.service == ticket.service && other.version == ticket.version
-        }
-
     private fun isTooLate(ticket: FleetTicket, rank: Int, ahead: Ahead, nowMs: Long): Boolean =
         ahead.waitingCount > 0 &&
             !scheduler.mayWait(
@@ -112,41 +106,45 @@
     private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement =
         scheduler.place(ticket, rank, nowMs, scheduler.wouldAllowVersion)
 
-    /** What the tickets ahead of the explained one, [entries] of its version, leave to it. */
+    /** What the tickets ahead of [ticket], [entries] of its service, leave to it. */
     private fun aheadOf(
+        ticket: FleetTicket,
         entries: List<WaitingQueue.RankedEntry>,
         active: List<TargetLoad>,
         nowMs: Long
     ): Ahead {
-        val ahead = Ahead()
+        val aheadByVersion = HashMap<SoftwareVersion?, Ahead>()
+        var sentCount = 0
         entries.filter { refusal(it.entry.ticket, active, nowMs) == null }.forEach {
-            val placement =
-                if (ahead.isBlocking) null else place(it.entry.ticket, it.rank, nowMs)
+            val ahead = aheadByVersion.getOrPut(it.entry.ticket.version, ::Ahead)
+            val isBlocked = sentCount > 0 || ahead.isBlocking
+            val placement = if (isBlocked) null else place(it.entry.ticket, it.rank, nowMs)
             when (placement) {
                 is Placement.Unsuitable -> ahead.unsuitableCount++
-                is Placement.Found, is Placement.NoneFree -> ahead.isFull = true
-                null -> Unit
+                is Placement.NoneFree -> ahead.isFull = true
+                is Placement.Found, null -> Unit
             }
-            if (placement is Placement.Found) ahead.sentCount++ else ahead.waitingCount++
+            if (placement is Placement.Found) sentCount++ else ahead.waitingCount++
         }
-        return ahead
+        return aheadByVersion.getOrPut(ticket.version, ::Ahead).also { it.sentCount = sentCount }
     }
 
+    /** The tickets ahead of one, of those that must go to the same version or may go to any. */
     private class Ahead {
         /** The tickets that go on waiting. */
         var waitingCount = 0
 
-        /** The tickets that are sent as the explained one increases this host's share of slots. */
+        /** Those of any version that are sent as this host's share of the slots increases. */
         var sentCount = 0
 
-        /** Whether no target is free for one of them, or one takes a free slot. */
+        /** Whether no target is free for one of them. */
         var isFull = false
 
         /** Tickets that wait for a faster target let others pass, up to a number. */
         var unsuitableCount = 0
 
         val isBlocking: Boolean
-            get() = isFull || unsuitableCount > FleetScheduler.MAX_UNSUITABLE
+            get() = isFull || sentCount > 0 || unsuitableCount > FleetScheduler.MAX_UNSUITABLE
     }
 
     /** Why [ticket] is refused whatever is free among the [active] targets of its service. */
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
@@ -7,10 +7,7 @@
     val rank: Int,
     /** What the ticket's account got recently, by which the ticket is ranked. */
     val shareBand: ShareBand,
-    /**
-     * The requests of the service on this host that would be sent before the ticket and, as it
-     * does, must go to one version or may go to any.
-     */
+    /** The requests of the service on this host that would be sent before the ticket. */
     val aheadCount: Int,
     /** The requests of the service that run or wait on this host, without the ticket. */
     val ownDemand: Int,
