--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplainer.kt
@@ -61,9 +61,9 @@
                 { it.score }
             )
         )
-        val restMs = inService.filter { !it.spec.isLeaving }.restMs(nowMs)
-        val ahead = aheadOf(queue.take(position), restMs, nowMs)
-        val verdict = refusal(ticket, restMs, nowMs) ?: when {
+        val active = inService.filter { !it.spec.isLeaving }
+        val ahead = aheadOf(ticket, queue.take(position), active, nowMs)
+        val verdict = refusal(ticket, active, nowMs) ?: when {
             !ahead.isBlocking && placement is Placement.Found ->
                 Verdict.Send(candidates.first().id)
 
@@ -106,44 +106,59 @@
     private fun place(ticket: FleetTicket, rank: Int, nowMs: Long): Placement =
         scheduler.place(ticket, rank, nowMs, scheduler.wouldAllowVersion)
 
-    /** What the tickets ahead of the explained one, [entries], leave to it. */
-    private fun aheadOf(entries: List<WaitingQueue.RankedEntry>, restMs: Long, nowMs: Long): Ahead {
-        val ahead = Ahead()
-        entries.filter { refusal(it.entry.ticket, restMs, nowMs) == null }.forEach {
-            val placement =
-                if (ahead.isBlocking) null else place(it.entry.ticket, it.rank, nowMs)
+    /** What the tickets ahead of [ticket], [entries] of its service, leave to it. */
+    private fun aheadOf(
+        ticket: FleetTicket,
+        entries: List<WaitingQueue.RankedEntry>,
+        active: List<TargetLoad>,
+        nowMs: Long
+    ): Ahead {
+        val aheadByVersion = HashMap<SoftwareVersion?, Ahead>()
+        var sentCount = 0
+        entries.filter { refusal(it.entry.ticket, active, nowMs) == null }.forEach {
+            val ahead = aheadByVersion.getOrPut(it.entry.ticket.version, ::Ahead)
+            val isBlocked = sentCount > 0 || ahead.isBlocking
+            val placement = if (isBlocked) null else place(it.entry.ticket, it.rank, nowMs)
             when (placement) {
                 is Placement.Unsuitable -> ahead.unsuitableCount++
-                is Placement.Found, is Placement.NoneFree -> ahead.isFull = true
-                null -> Unit
+                is Placement.NoneFree -> ahead.isFull = true
+                is Placement.Found, null -> Unit
             }
-            if (placement is Placement.Found) ahead.sentCount++ else ahead.waitingCount++
+            if (placement is Placement.Found) sentCount++ else ahead.waitingCount++
         }
-        return ahead
+        return aheadByVersion.getOrPut(ticket.version, ::Ahead).also { it.sentCount = sentCount }
     }
 
+    /** The tickets ahead of one, of those that must go to the same version or may go to any. */
     private class Ahead {
         /** The tickets that go on waiting. */
         var waitingCount = 0
 
-        /** The tickets that are sent as the explained one increases this host's share of slots. */
+        /** Those of any version that are sent as this host's share of the slots increases. */
         var sentCount = 0
 
-        /** Whether no target is free for one of them, or one takes a free slot. */
+        /** Whether no target is free for one of them. */
         var isFull = false
 
         /** Tickets that wait for a faster target let others pass, up to a number. */
         var unsuitableCount = 0
 
         val isBlocking: Boolean
-            get() = isFull || unsuitableCount > FleetScheduler.MAX_UNSUITABLE
+            get() = isFull || sentCount > 0 || unsuitableCount > FleetScheduler.MAX_UNSUITABLE
     }
 
-    private fun refusal(ticket: FleetTicket, restMs: Long, nowMs: Long): Verdict.Refuse? {
+    /** Why [ticket] is refused whatever is free among the [active] targets of its service. */
+    private fun refusal(
+        ticket: FleetTicket,
+        active: List<TargetLoad>,
+        nowMs: Long
+    ): Verdict.Refuse? {
+        val restMs = active.acceptedBy(ticket).restMs(nowMs)
         val blocked = scheduler.poisonParts.findBlocked(ticket.sharedParts)
         return when {
             blocked != null -> Verdict.Refuse("prompt part ${blocked.id} crashes targets")
             nowMs > ticket.startByMs -> Verdict.Refuse("no target in time")
+            active.lackVersionOf(ticket) -> Verdict.Refuse(FleetScheduler.VERSION_GONE)
             nowMs + restMs > ticket.startByMs -> Verdict.Refuse("all targets rest")
             else -> null
         }
@@ -161,6 +176,7 @@
             Standing.NO_PERMIT -> "a permit for a limited target"
             Standing.EJECTED -> "a target that is not ejected"
             Standing.RESTING -> "a target that wants requests"
+            Standing.OTHER_VERSION -> "a target of the stream's version"
             Standing.LEAVING -> "a target that does not leave"
         }
 
@@ -192,13 +208,15 @@
         val isLimited = limits.perSecond(load.spec.ref) != null
         return when {
             load.spec.isLeaving -> Standing.LEAVING
+            !ticket.accepts(load.spec) -> Standing.OTHER_VERSION
             load.restingUntilMs > nowMs -> Standing.RESTING
             load !in options.usable -> Standing.EJECTED
             !limits.maySend(load.spec.ref, nowMs) -> Standing.NO_PERMIT
             !options.counts.isFree(load, reserved = 0) -> Standing.FULL
             !isLimited && options.isShareUsed -> Standing.SHARE_USED
             !options.counts.isFree(load, options.reservedSlots) -> Standing.RESERVED
-            !scheduler.wouldAllowVersion(load.spec) -> Standing.VERSION_NOT_ALLOWED
+            !scheduler.wouldAllowVersion(load.spec, ticket.version != null) ->
+                Standing.VERSION_NOT_ALLOWED
             placement is Placement.Unsuitable -> Standing.TOO_SLOW
             isTooSlow(load, options, ticket, nowMs) -> Standing.TOO_SLOW
             load.isSuspectedByPeers -> Standing.SUSPECTED
--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetExplanation.kt
@@ -62,6 +62,9 @@
 
         /** It wants no requests from this host for a while. */
         RESTING,
+
+        /** It does not run the version that the ticket must go to. */
+        OTHER_VERSION,
         LEAVING
     }
 
