A stream that a caller takes up goes on at the version that began it

A caller whose stream had broken off asked for the rest with Last-Event-Id and Resumes, was answered 200, and received events of another software version.

Cause: nothing of the two headers was looked at, so that such a request went to any target.

AdmissionController now asks StreamOrigins for the origin of the stream before the quota is charged. If it is known, the request is sent only to that service and version; otherwise it is refused with 503 as not run, with Retry-After only if the origin may be known soon. RequestForwarder records the origin of each resumable stream just before its first event is written to the caller, under the id of the request that brought the stream's first event, so that a chain of requests that take a stream up finds it. The lines 'refused' and 'ended' name the stream taken up, and bronzetide_edge_streams_taken_up_total counts what became of it.

ProcessStreamOrigins knows the streams of one process only and lets unknown ones go on while the service's targets run one version; what other hosts know is not asked yet.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -38,6 +38,8 @@
 import org.bronzetide.edge.state.StoreWatcher
 import org.bronzetide.edge.state.TargetRegistry
 import org.bronzetide.edge.state.ref
+import org.bronzetide.edge.streams.ProcessStreamOrigins
+import org.bronzetide.edge.streams.StreamOrigins
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.edge.telemetry.StatusPage
@@ -153,6 +155,8 @@
         }
     }
     private val processEnd = ProcessEnd()
+    private val origins: StreamOrigins =
+        ProcessStreamOrigins { board[BlackboardKeys.targets].values }
     private val forwarder = RequestForwarder(
         SchedulerAdapter(control, clock, scheduler, rollouts),
         TargetClient(pool, clock, departures, responseMemory, metrics),
@@ -161,6 +165,7 @@
         { id -> board[BlackboardKeys.targets][id]?.takeUnless { it in departures } },
         log,
         metrics,
+        origins,
         processEnd,
         HedgingPolicy(hedgingShare)
     )
@@ -171,6 +176,8 @@
             QuotaLimiterAdapter(control, clock, quotaLimiter, settings.bounds, log) {
                 scheduler.waitingCount > 0
             },
+            origins,
+            metrics,
             awaitManifest = firstManifest::await
         ),
         forwarder,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/WarmUp.kt
@@ -18,6 +18,7 @@
 import org.bronzetide.edge.forwarding.TargetClient
 import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.state.Departures
+import org.bronzetide.edge.streams.StreamOrigins
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -109,9 +110,10 @@
             WindowedRetryBudget(1.0, 1.0, LIMIT_MS) { 1 },
             { TargetEntry(it, it, address, ZONE, SLOTS, isLeaving = false, startedAtMs = 0) },
             log,
-            metrics
+            metrics,
+            StreamOrigins.None
         )
-        val admissionController = AdmissionController({ manifest }, NoQuotas)
+        val admissionController = AdmissionController({ manifest }, NoQuotas, StreamOrigins.None)
         return CallerSession.Dependencies(
             clock,
             admissionController,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -6,12 +6,17 @@
 import org.bronzetide.edge.forwarding.Admission
 import org.bronzetide.edge.forwarding.Call
 import org.bronzetide.edge.forwarding.RequestForwarder
+import org.bronzetide.edge.streams.StreamOrigins
+import org.bronzetide.edge.streams.StreamOrigins.Continuation
+import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.IncomingRequest
 import org.bronzetide.platform.fleet.Account
 import org.bronzetide.platform.fleet.Manifest
 import org.bronzetide.platform.fleet.RequestMetadata
 import org.bronzetide.platform.fleet.Route
+import org.bronzetide.platform.fleet.RouteKind
 import org.bronzetide.platform.fleet.Service
+import org.bronzetide.scheduling.streams.StreamOrigin
 
 /**
  * Finds the route and account of each request in the manifest, and admits it within the account's
@@ -20,6 +25,8 @@
 internal class AdmissionController(
     private val manifest: () -> Manifest?,
     private val quotas: AccountQuotas,
+    private val origins: StreamOrigins,
+    private val metrics: EdgeMetrics = EdgeMetrics(),
     /** Waits until there is a manifest. */
     private val awaitManifest: suspend () -> Unit = {}
 ) {
@@ -65,8 +72,14 @@
             )
         }
         val priority = account?.priority ?: route.priority
+        val continuation = continuationOf(metadata, route)
+        if (continuation is Continuation.Unknown) {
+            return refusalOf(continuation, current, route, account)
+        }
+        val origin = (continuation as? Continuation.At)?.origin
         // Nothing that can fail follows the consumption of units, so that none are lost.
-        val call = createCall(request, body, arrivedAtMs, current, metadata, route, account)
+        val arrival = Arrival(request, metadata, body, arrivedAtMs)
+        val call = createCall(arrival, current, route, account, origin)
         val retryAfterMs = account?.let { quotas.tryConsume(it, chargeOf(call, it, current)) }
         if (account != null && retryAfterMs != null) {
             val logFields = versionField + listOf(
@@ -86,6 +99,30 @@
         return Admission.Admitted(call)
     }
 
+    /** Whether the stream that a request takes up may go on; `null` if it takes none up. */
+    private suspend fun continuationOf(metadata: RequestMetadata, route: Route): Continuation? {
+        if (route.kind !is RouteKind.Streaming) return null
+        val stream = metadata.takenUpStream ?: return null
+        val found = origins.find(stream.firstRequestId, route.services.map { it.service })
+        metrics.onStreamTakenUp((found as? Continuation.Unknown)?.reason ?: "continued")
+        return found
+    }
+
+    private fun refusalOf(
+        continuation: Continuation.Unknown,
+        current: Manifest,
+        route: Route,
+        account: Account?
+    ) = Admission.Refused(
+        UNAVAILABLE,
+        continuation.reason,
+        continuation.retryAfterMs,
+        account?.priority ?: route.priority,
+        route.name,
+        account?.name,
+        listOf("manifest" to current.version)
+    )
+
     /**
      * Waits for the first manifest after a start. It mostly arrives sooner than the caller would
      * be back after a refusal.
@@ -95,29 +132,37 @@
         return manifest()
     }
 
+    /** A request as it was read from its caller. */
+    private class Arrival(
+        val request: IncomingRequest,
+        val metadata: RequestMetadata,
+        val body: ByteArray,
+        val atMs: Long
+    )
+
     private fun createCall(
-        request: IncomingRequest,
-        body: ByteArray,
-        arrivedAtMs: Long,
+        arrival: Arrival,
         current: Manifest,
-        metadata: RequestMetadata,
         route: Route,
-        account: Account?
+        account: Account?,
+        origin: StreamOrigin?
     ): Call {
-        val service = pickService(route)
+        val metadata = arrival.metadata
+        val service = origin?.service ?: pickService(route)
         val timeoutMs = minOf(metadata.timeoutMs ?: route.timeoutMs, route.timeoutMs)
         return Call(
             sequences.incrementAndGet(),
-            request,
+            arrival.request,
             metadata,
-            body,
+            arrival.body,
             route,
             service,
             expectedEvents(metadata, current.services[service]?.engine),
             account,
             current.version,
-            arrivedAtMs,
-            deadlineAtMs = arrivedAtMs + timeoutMs
+            arrival.atMs,
+            deadlineAtMs = arrival.atMs + timeoutMs,
+            origin?.version
         )
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/CallerSession.kt
@@ -257,6 +257,8 @@
             "route" to refusal.route,
             "account" to refusal.account,
             "promptTokens" to metadata.promptTokens,
+            "takesUp" to metadata.takenUpStream?.firstRequestId,
+            "takesUpAfter" to metadata.takenUpStream?.lastEventId,
             *refusal.logFields.toTypedArray()
         )
         val keepAlive =
@@ -318,6 +320,8 @@
             "notRun" to result.hasNotRun, "tookMs" to tookMs,
             "route" to call.route.name, "account" to call.account?.name,
             "promptTokens" to call.metadata.promptTokens,
+            "takesUp" to call.metadata.takenUpStream?.firstRequestId,
+            "takesUpAfter" to call.metadata.takenUpStream?.lastEventId,
             "firstEventMs" to result.stream?.let { it.firstEventAtMs - call.arrivedAtMs },
             "longestPauseMs" to result.stream?.longestPauseMs,
             "events" to result.stream?.eventCount,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/Call.kt
@@ -6,6 +6,7 @@
 import org.bronzetide.platform.fleet.Route
 import org.bronzetide.scheduling.fleet.PromptPart
 import org.bronzetide.scheduling.fleet.RequestRank
+import org.bronzetide.scheduling.fleet.SoftwareVersion
 
 /**
  * An admitted request with its complete body. Times are in milliseconds on the process's monotonic
@@ -27,13 +28,18 @@
     val manifestVersion: Long,
     val arrivedAtMs: Long,
     /** When the caller's deadline or the route's timeout expires, whichever comes first. */
-    val deadlineAtMs: Long
+    val deadlineAtMs: Long,
+    /** The only version that may respond, as it began the stream; `null` if any may. */
+    val version: SoftwareVersion? = null
 ) {
     /** The runs at targets so far. */
     val runs = RunRecord()
 
     val requestId: String? get() = metadata.requestId
 
+    /** The id of the caller's request that brought the first event of the stream. */
+    val firstRequestId: String? get() = metadata.takenUpStream?.firstRequestId ?: requestId
+
     /** The parts of the prompt that other requests may share; the last part is not shared. */
     val sharedParts: List<PromptPart> get() = metadata.promptParts.dropLast(1).map(::PromptPart)
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -4,6 +4,7 @@
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.memory.OutputBuffer
 import org.bronzetide.edge.state.software
+import org.bronzetide.edge.streams.StreamOrigins
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -22,6 +23,7 @@
 import org.bronzetide.scheduling.fleet.HedgingShare
 import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.fleet.WindowedRetryBudget
+import org.bronzetide.scheduling.streams.StreamOrigin
 
 /** The status of the response that a caller received, with the reason for it. */
 internal class ForwardingResult(
@@ -50,6 +52,7 @@
     private val findTarget: (String) -> TargetEntry?,
     private val log: DecisionLog,
     private val metrics: EdgeMetrics,
+    private val origins: StreamOrigins,
     private val processEnd: ProcessEnd = ProcessEnd(),
     private val hedging: HedgingPolicy = HedgingPolicy(HedgingShare.OFF)
 ) {
@@ -85,7 +88,7 @@
             output,
             clock,
             client.memory.events,
-            onStart = { version = checkNotNull(currentTarget).software },
+            onStart = ::onStart,
             onFirstEvent = {
                 scheduler.onFirstEvent(ticketSequence)
                 recordWait(this)
@@ -105,7 +108,8 @@
         var currentTarget: TargetEntry? = null
 
         /** The version that the stream began with, whose targets alone may go on with it. */
-        var version: SoftwareVersion? = null
+        var version: SoftwareVersion? = call.version
+            private set
 
         /** When the current send was made, until it has responded or another run took over. */
         var waitingSinceMs: Long? = null
@@ -120,6 +124,14 @@
 
         fun takeReplacement(): Replacement? = replacement.also { replacement = null }
 
+        /** The first event of the response is about to be written to the caller. */
+        private fun onStart() {
+            val begun = checkNotNull(currentTarget).software
+            version = begun
+            if (!call.route.kind.isSafeToRetry) return
+            call.firstRequestId?.let { origins.onFirstEvent(it, StreamOrigin(call.service, begun)) }
+        }
+
         /** Whether [target] may send the events that the caller has not received yet. */
         fun mayContinueAt(target: TargetEntry): Boolean =
             version == null || target.software == version
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamOrigins.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamOrigins.kt
@@ -16,6 +16,14 @@
      */
     suspend fun find(firstRequestId: String?, services: List<String>): Continuation
 
+    /** Remembers nothing; for paths without callers that take streams up. */
+    object None : StreamOrigins {
+        override fun onFirstEvent(firstRequestId: String, origin: StreamOrigin) = Unit
+
+        override suspend fun find(firstRequestId: String?, services: List<String>): Continuation =
+            Continuation.Unknown("origin of the stream is not known")
+    }
+
     /** Whether a stream may go on. */
     sealed class Continuation {
         /** Only targets of [origin] may continue the stream. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/entry/AdmissionControllerTest.kt
@@ -8,6 +8,7 @@
 import net.jqwik.api.Example
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.edge.forwarding.Admission
+import org.bronzetide.edge.streams.StreamOrigins
 import org.bronzetide.http.Framing
 import org.bronzetide.http.HeaderList
 import org.bronzetide.http.IncomingRequest
@@ -20,8 +21,12 @@
 class AdmissionControllerTest {
     private var manifest: Manifest? = null
     private val firstManifest = CompletableDeferred<Unit>()
-    private val controller =
-        AdmissionController({ manifest }, UnlimitedQuotas, firstManifest::await)
+    private val controller = AdmissionController(
+        { manifest },
+        UnlimitedQuotas,
+        StreamOrigins.None,
+        awaitManifest = firstManifest::await
+    )
 
     @Example
     fun requestWaitsForTheFirstManifest() = runBlocking<Unit> {
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/standin/SessionServer.kt
@@ -21,6 +21,7 @@
 import org.bronzetide.edge.memory.BodyBudget
 import org.bronzetide.edge.memory.ResponseMemory
 import org.bronzetide.edge.state.Departures
+import org.bronzetide.edge.streams.StreamOrigins
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.http.CallerConnection
@@ -114,6 +115,7 @@
                 findTarget,
                 log,
                 metrics,
+                StreamOrigins.None,
                 parts.processEnd
             ),
             { limits },
@@ -125,10 +127,10 @@
     }
 
     private fun admissionController(): AdmissionController {
-        parts.manifest?.let { return AdmissionController(it, parts.quotas) }
+        parts.manifest?.let { return AdmissionController(it, parts.quotas, StreamOrigins.None) }
         // Found only after [beforeAdmission].
         var manifest: Manifest? = null
-        return AdmissionController({ manifest }, parts.quotas) {
+        return AdmissionController({ manifest }, parts.quotas, StreamOrigins.None) {
             beforeAdmission()
             manifest = Manifest(1, emptyList(), emptyMap(), emptyList(), limits)
         }
