--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -75,6 +75,11 @@
     fun onRolloutWrite(result: String) = Counter.builder("bronzetide.edge.rollout.status.writes")
         .tag("result", result).register(registry).increment()
 
+    /** Counts an attempt to write an object of [kind]: `DONE`, `CONFLICT` or `FAILED`. */
+    fun onStreamStoreWrite(kind: String, result: String) =
+        Counter.builder("bronzetide.edge.stream.store.writes")
+            .tag("kind", kind).tag("result", result).register(registry).increment()
+
     /** Registers a gauge [name] that reads [value] at each scrape. */
     fun gauge(name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
