Versions that a writer dropped are merged when they return; note what the store holds

The test guards against a writer that remembers a version as merged after it has dropped it: another writer's version would be lost at the next conflict. It fails without the reset in VersionHistory.onWritten.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/VersionHistoryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/VersionHistoryTest.kt
@@ -268,6 +268,26 @@
         }
     }
 
+    /** Guards against a version that a writer has dropped, and does not merge when it returns. */
+    @Example
+    fun versionThatReturnsByAnotherWriterIsMerged() = test {
+        host {
+            serve(APP, "1", "2")
+            run(2_000)
+            serve(APP, "1")
+            run(WINDOW_MS + 1_000)
+            assertThat(entry()?.versions).containsExactly("1")
+            host {
+                serve(APP, "2")
+                run(2_000)
+            }
+            serve(APP, "1", "3")
+            run(200)
+            assertThat(known()).containsExactlyInAnyOrder("1", "2", "3")
+            assertThat(entry()?.versions).containsExactlyInAnyOrder("1", "2", "3")
+        }
+    }
+
     /** Guards against an object without a usable revision, which conflicts with each write. */
     @Example
     fun writeThatAlwaysConflictsIsSlowedDown() = test {
