Any host finds the version at which a stream began, or refuses

Cause: a host knew nothing of streams that began elsewhere, so that a caller's new request could go on at another version.

Change: each host records the origins of its streams. Those of services with several versions go to two keepers by rendezvous hashing over host names; a take-up asks up to three hosts. Versions are known for a window after they left, and a host that learns of a second one tells others, so that one whose view of the targets is late learns of it. Without an origin, only a service with one known version goes on. PeerNetwork's hosts take part; its sequence of random numbers is the same as before.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/NodeId.kt
@@ -7,12 +7,16 @@
 @JvmInline
 @Serializable
 public value class NodeId(public val value: String) : Comparable<NodeId> {
+    /** The name of the host, which stays the same when its process restarts. */
+    public val hostName: String get() = value.substringBeforeLast(SEPARATOR)
+
     override fun compareTo(other: NodeId): Int = value.compareTo(other.value)
 
     override fun toString(): String = value
 
     public companion object {
         private const val RADIX = 36
+        private const val SEPARATOR = '~'
 
         /**
          * Returns the id of a process that starts now on the host [name]. Its second part is
@@ -20,7 +24,7 @@
          */
         public fun ofNewProcess(name: String, random: Random = Random.Default): NodeId {
             val part = random.nextLong().toULong().toString(RADIX)
-            return NodeId("$name~$part")
+            return NodeId("$name$SEPARATOR$part")
         }
     }
 }
--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/RendezvousHash.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/RendezvousHash.kt
@@ -1,5 +1,7 @@
 package org.bronzetide.coordination
 
+import java.util.PriorityQueue
+
 /**
  * Rendezvous hashing. It assigns names to nodes so that adding or removing a node moves only the
  * names assigned to that node.
@@ -15,6 +17,17 @@
             .sortedWith(compareByDescending<Pair<N, Long>> { it.second }.thenBy { it.first })
             .map { it.first }
 
+    /** Returns the first [count] of [nodes] in the order of [rank], without sorting the others. */
+    public fun <N : Comparable<N>> top(name: String, nodes: Collection<N>, count: Int): List<N> {
+        val order = compareBy<Pair<N, Long>> { it.second }.thenByDescending { it.first }
+        val best = PriorityQueue(order)
+        for (node in nodes) {
+            best.add(node to weight(name, node.toString()))
+            if (best.size > count) best.poll()
+        }
+        return best.sortedWith(order.reversed()).map { it.first }
+    }
+
     /** Returns the node with the highest weight for [name], or `null` if [nodes] is empty. */
     public fun <N : Comparable<N>> pick(name: String, nodes: Collection<N>): N? =
         nodes.maxWithOrNull(compareBy<N> { weight(name, it.toString()) }.thenBy { it })
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerCoordinator.kt
@@ -8,6 +8,7 @@
 import org.bronzetide.coordination.NodeId
 import org.bronzetide.coordination.RendezvousHash
 import org.bronzetide.coordination.TimerService
+import org.bronzetide.edge.streams.StreamExchange
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.HostSettings
 import org.bronzetide.platform.fleet.SocketAddress
@@ -46,7 +47,9 @@
         /** Called with a target that has said to another host that it leaves. */
         val onPeerDeparture: (TargetRef) -> Unit,
         /** `null` if operators order no rollouts. */
-        val rollouts: RolloutExchange? = null
+        val rollouts: RolloutExchange? = null,
+        /** `null` if streams are not taken up at other hosts. */
+        val streams: StreamExchange? = null
     )
 
     private val self = NodeId.ofNewProcess(settings.nodeName, random)
@@ -120,6 +123,7 @@
 
     /** Starts the periodic work; must be called on the control thread. */
     fun start() {
+        env.streams?.start()
         probe()
         timers.every(PROBE_INTERVAL_MS) { probe() }
         scheduleJoin()
@@ -163,6 +167,9 @@
         is PeerMessage.Report -> onReport(message, senderIp)
         is PeerMessage.Summary -> onSummary(message)
         is PeerMessage.Grants -> onGrants(message)
+        is PeerMessage.StreamPush -> env.streams?.onPush(message) ?: Unit
+        is PeerMessage.StreamQuery -> env.streams?.onQuery(message, senderIp) ?: Unit
+        is PeerMessage.StreamReply -> env.streams?.onReply(message, senderIp) ?: Unit
     }
 
     /** The IP addresses of the peers that are not known to be dead, in random order. */
@@ -178,7 +185,7 @@
             val probe = PeerMessage.Probe(membership.probeOfUnknown(), false, env.manifestVersion())
             env.send(addressOf(seed), probe)
         }
-        if (membership.version != before) logView()
+        if (membership.version != before) onMembersChanged()
     }
 
     private fun onProbe(message: PeerMessage.Probe, senderIp: String) {
@@ -191,11 +198,12 @@
             env.send(addressOf(message.probe.sender.host), reply)
         }
         if (message.manifestVersion > env.manifestVersion()) env.onNewerManifest(senderIp)
-        if (membership.version != before) logView()
+        if (membership.version != before) onMembersChanged()
     }
 
-    private fun logView() {
+    private fun onMembersChanged() {
         val members = membership.view()
+        env.streams?.updateMembers(members)
         log.stateChange(
             "members",
             "version" to membership.version,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborLabel
 import org.bronzetide.coordination.Membership
@@ -75,6 +76,55 @@
         @CborLabel(12) val rollouts: List<Rollout>? = null
     ) : PeerMessage()
 
+    /** Where streams have begun, sent to the hosts that keep it. */
+    @Serializable
+    @SerialName("o")
+    data class StreamPush(@CborLabel(1) val groups: List<StreamGroup>) : PeerMessage()
+
+    /** Asks for the origin of [stream] and for the versions of [services]. */
+    @Serializable
+    @SerialName("q")
+    data class StreamQuery(
+        @CborLabel(1) val query: Long,
+        @CborLabel(2) val stream: Long,
+        @CborLabel(3) val services: List<String>
+    ) : PeerMessage()
+
+    /** What the sender knows of the stream and the services of [query]. */
+    @Serializable
+    @SerialName("a")
+    data class StreamReply(
+        @CborLabel(1) val query: Long,
+        /** `null`, as is [version], if the origin is unknown. */
+        @CborLabel(2) val service: String? = null,
+        @CborLabel(3) val version: String? = null,
+        @CborLabel(4) val services: List<ServiceVersions> = emptyList()
+    ) : PeerMessage()
+
+    /** Streams that have begun at [version] of [service] and expire at about the same time. */
+    @Serializable
+    class StreamGroup(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val version: String,
+        /** The time until they expire, in seconds. */
+        @CborLabel(3) val remainingS: Int,
+        /** The ids of the streams, 8 bytes each with the highest first. */
+        @ByteString @CborLabel(4) val ids: ByteArray
+    )
+
+    /** Some versions that [service] had within the window, at least two if it had several. */
+    @Serializable
+    data class ServiceVersions(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val versions: List<SeenVersion>,
+        /** Whether the sender knows all versions that it had. */
+        @CborLabel(3) val isSettled: Boolean
+    )
+
+    /** A version that last had targets [agoMs] milliseconds before the message. */
+    @Serializable
+    data class SeenVersion(@CborLabel(1) val name: String, @CborLabel(2) val agoMs: Long)
+
     /** The requests in progress at a target. */
     @Serializable
     data class Load(
--- /dev/null
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamKeepers.kt
@@ -0,0 +1,77 @@
+package org.bronzetide.edge.streams
+
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
+import org.bronzetide.coordination.NodeId
+import org.bronzetide.coordination.RendezvousHash
+import org.bronzetide.scheduling.streams.StreamId
+
+/**
+ * The order in which the other hosts keep the origin of a stream: rendezvous hashing of the
+ * stream's slot over the names of the hosts that are not known to be dead. A host that restarts
+ * keeps its place.
+ *
+ * The order of a slot is computed once for each set of hosts. Confined to the control thread.
+ */
+internal class StreamKeepers(private val selfName: String) {
+    private var hosts: Map<String, KeeperHost> = emptyMap()
+    private val ranked = HashMap<Int, List<String>>()
+
+    /** The processes that have been seen, dead ones included while they are members. */
+    private var known: Set<NodeId> = emptySet()
+
+    /** Whether other hosts are known that are not dead. */
+    val hasHosts: Boolean get() = hosts.isNotEmpty()
+
+    /** The other hosts that are not known to be dead. */
+    val all: Collection<KeeperHost> get() = hosts.values
+
+    /** Replaces the members. */
+    fun update(members: Collection<Member>) {
+        val before = hosts
+        val updated = HashMap<String, KeeperHost>()
+        members.filter { it.id.hostName != selfName && it.state != MemberState.DEAD }
+            .groupBy { it.id.hostName }
+            .forEach { (name, processes) ->
+                val started = processes.filter { it.id !in known }
+                val last = before[name]
+                updated[name] = when {
+                    last == null -> KeeperHost(name, processes.first().host, 0)
+                    started.isEmpty() -> last
+                    else -> KeeperHost(name, started.first().host, last.generation + 1)
+                }
+            }
+        known = members.mapTo(HashSet()) { it.id }
+        hosts = updated
+        if (updated.keys != before.keys) ranked.clear()
+    }
+
+    /** The hosts that keep the streams of [slot]. */
+    fun of(slot: Int): List<KeeperHost> = inOrder(slot).take(KEEPERS)
+
+    /**
+     * The hosts to ask for a stream of [slot]. Hosts that have another one of the keepers in place
+     * of this host or of one that is dead are among them.
+     */
+    fun toAsk(slot: Int): List<KeeperHost> = inOrder(slot)
+
+    /** Returns the host [name], or `null` if it is not known or dead. */
+    fun find(name: String): KeeperHost? = hosts[name]
+
+    private fun inOrder(slot: Int): List<KeeperHost> = ranked.getOrPut(slot) {
+        RendezvousHash.top("stream-$slot", hosts.keys, ASKED)
+    }.mapNotNull { hosts[it] }
+
+    /** A host at its address. The generation increases when its process restarts. */
+    data class KeeperHost(val name: String, val ip: String, val generation: Int)
+
+    companion object {
+        /** A stream is known as long as one of two hosts lives, or the one that began it. */
+        private const val KEEPERS = 2
+        private const val ASKED = KEEPERS + 1
+        private const val SLOTS = 256
+
+        /** The slot of the stream [id]. */
+        fun slotOf(id: StreamId): Int = Math.floorMod(id.value, SLOTS)
+    }
+}
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -5,6 +5,8 @@
 import org.bronzetide.coordination.TimerService
 import org.bronzetide.edge.entry.QuotaLimiterAdapter
 import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.edge.streams.StreamExchange
+import org.bronzetide.edge.streams.StreamResolver
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.SocketAddress
 import org.bronzetide.scheduling.fleet.FleetDecision
@@ -16,6 +18,7 @@
 import org.bronzetide.scheduling.fleet.QuotaLimiter
 import org.bronzetide.scheduling.fleet.RolloutPolicy
 import org.bronzetide.scheduling.fleet.TargetRef
+import org.bronzetide.scheduling.streams.ServedVersions
 
 /**
  * Hosts that exchange messages through a network that loses a share of [lossShare] of them and
@@ -28,6 +31,9 @@
     val random = Random(seed)
     private var startedCount = 0
 
+    /** The messages that are lost besides. */
+    var losesMessage: (PeerMessage) -> Boolean = { false }
+
     /** Starts [count] hosts at the same time, which know the first one as their seed. */
     fun startHosts(count: Int): List<Host> {
         val started = List(count) { createHost() }
@@ -51,6 +57,15 @@
         return startHost()
     }
 
+    /** Replaces the process of [host]; the new one has the same name and address. */
+    fun restart(host: Host): Host {
+        hosts.remove(host)
+        return Host(host.index).also {
+            hosts += it
+            it.coordinator.start()
+        }
+    }
+
     fun run(durationMs: Long) {
         repeat((durationMs / STEP_MS).toInt()) {
             clock.advance(STEP_MS)
@@ -61,17 +76,22 @@
     private fun createHost(): Host = Host(startedCount++).also { hosts += it }
 
     private fun deliver(from: Host, to: SocketAddress, message: PeerMessage) {
+        from.onSent?.invoke(message)
         val receiver = hosts.find { it.ip == to.host } ?: return
-        val isLost = from.isIsolated || receiver.isIsolated || random.nextDouble() < lossShare
+        val isLost = from.isIsolated ||
+            receiver.isIsolated ||
+            losesMessage(message) ||
+            random.nextDouble() < lossShare
         if (!isLost && from in hosts) receiver.coordinator.onMessage(message, from.ip)
     }
 
-    inner class Host(index: Int) {
+    inner class Host(val index: Int) {
         val name = "n$index"
         val ip = "10.0.0.${index + 1}"
         val timers = TimerService(clock)
         val quotas = QuotaLimiter()
         var isIsolated = false
+        var onSent: ((PeerMessage) -> Unit)? = null
         var manifestVersion = 1L
         val newerManifestAt = HashSet<String>()
 
@@ -83,6 +103,17 @@
         val target = FleetTarget("t1", "model", "z1", 8, isLeaving = false, isEngine = true)
         val rollouts = RolloutPolicy(0.1, 50.0) { exchange.hostCount }
         private val exchange: RolloutExchange = RolloutExchange(rollouts, hasOtherSeeds = true)
+        val versions = ServedVersions(windowMs = STREAM_WINDOW_MS)
+        val streams = StreamExchange(
+            name,
+            clock,
+            timers,
+            versions,
+            DecisionLog(clock, omitsRequests = true),
+            { to, message -> deliver(this, SocketAddress(to, 7_600), message) },
+            Random(index)
+        )
+        val origins = StreamResolver(clock, versions, streams)
         private val settings = EdgeTestEnvironment.settings(1, name).copy(
             ip = ip,
             peerPorts = 7_600..7_600,
@@ -100,7 +131,8 @@
                 { manifestVersion },
                 { newerManifestAt += it },
                 { departures += it },
-                exchange
+                exchange,
+                streams
             ),
             Random(random.nextLong())
         )
@@ -155,6 +187,7 @@
 
     companion object {
         const val STEP_MS = 10L
+        const val STREAM_WINDOW_MS = 20_000L
         const val QUOTA_PER_S = 60_000.0
         const val QUOTA_SLACK = 140_000.0
         private val SYSTEM = PromptPart("system")
