--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamInterleavingsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamInterleavingsTest.kt
@@ -39,6 +39,7 @@
         explore(begun, LENGTH)
         explore(begun + Step.Exchange, LENGTH)
         explore(begun + Step.Exchange + Step.FirstVersionLeaves, LENGTH)
+        explore(listOf(Step.Loss) + begun, LENGTH)
         println("$sequences sequences, $continuedCount continued, $refusedCount refused")
         assertThat(continuedCount).isGreaterThan(sequences / 10)
         assertThat(refusedCount).isPositive()
@@ -84,10 +85,10 @@
 
         data object FirstVersionLeaves : Step()
 
-        /** All that is due is sent and arrives. */
+        /** All that is due is sent and arrives, as does what is sent after it. */
         data object Exchange : Step()
 
-        /** All that is due is sent, and none of it arrives. */
+        /** All that is due is sent, and neither that nor what is sent after it arrives. */
         data object Loss : Step()
 
         data class Kill(val host: Int) : Step()
@@ -109,7 +110,6 @@
         private var second: String? = null
         private var isMembershipCurrent = true
         private var hasDeaths = false
-        private var lossCount = 0
         var mixed = false
             private set
         var continuedCount = 0
@@ -133,7 +133,7 @@
             if (lastSees != current) add(Step.LastHostSees)
             if (current.size > 1) add(Step.FirstVersionLeaves)
             add(Step.Exchange)
-            if (lossCount == 0) add(Step.Loss)
+            if (!isLosing) add(Step.Loss)
             hosts.forEach { add(if (it.isAlive) Step.Kill(it.index) else Step.Restart(it.index)) }
             if (!isMembershipCurrent) add(Step.Members)
         }
@@ -155,13 +155,14 @@
                     hosts.last().observe()
                 }
 
-                Step.Exchange -> run(FLUSH_MS)
+                Step.Exchange -> {
+                    isLosing = false
+                    run(FLUSH_MS)
+                }
 
                 Step.Loss -> {
-                    lossCount++
                     isLosing = true
                     run(FLUSH_MS)
-                    isLosing = false
                 }
 
                 is Step.Kill -> {
