--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -91,7 +91,8 @@
 
     /** Takes over the current manifest; must be called on the control thread. */
     fun onManifest(manifest: Manifest) {
-        val routes = manifest.routes.filter { (it.kind as? RouteKind.Streaming)?.isResumable == true }
+        val routes =
+            manifest.routes.filter { it.kind is RouteKind.Streaming && it.kind.isSafeToRetry }
         resumableServices = routes.flatMapTo(HashSet()) { it.services.map { part -> part.service } }
         val longestMs = routes.maxOfOrNull { it.timeoutMs } ?: return
         versions.windowMs =
