--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SlowReaderTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/SlowReaderTest.kt
@@ -42,7 +42,9 @@
     private val metrics = EdgeMetrics()
     private val scheduler = FleetScheduler("z1", Random(1)).apply {
         updateTargets(
-            listOf("t", "u").map { FleetTarget(it, "s", "z1", SLOTS, isLeaving = false, false) }
+            listOf("t", "u").map {
+                FleetTarget(it, "s", "z1", SLOTS, isLeaving = false, false, version = "v1")
+            }
         )
     }
     private val target = StandInServer { request, _, connection ->
@@ -74,7 +76,7 @@
         val address = SocketAddress(IP, target.port)
         val parts = SessionServer.Parts(
             { MANIFEST },
-            findTarget = { TargetEntry(it, "s", address, "z1", SLOTS, false, 0) },
+            findTarget = { TargetEntry(it, "s", address, "z1", SLOTS, false, 0, "v1") },
             scheduler = scheduler,
             metrics = metrics,
             memory = memory,
