Loops: a failure that cannot be logged ends neither the traffic nor the control loop

The traffic loop survived what a task throws, but not what logging it throws, except OutOfMemoryError, nor an error between tasks: its thread ended, and nothing started it again, so that the process ran and answered nobody. On the control loop the next run of the timers was not scheduled then, until some other task came.

A pass of the traffic loop now catches everything, also while it logs; the control loop schedules its timers in any case.

--- a/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/ControlLoop.kt
+++ b/bronzetide-coordination/src/main/kotlin/org/bronzetide/coordination/ControlLoop.kt
@@ -70,8 +70,14 @@
     }
 
     private fun runLogged(action: () -> Unit) {
-        runCatching(action).onFailure { log.error("uncaught exception on the control thread", it) }
-        scheduleWakeUp()
+        try {
+            runCatching(action).onFailure {
+                log.error("uncaught exception on the control thread", it)
+            }
+        } finally {
+            // Also if the log lacks memory or stack; no one else may wake the thread.
+            scheduleWakeUp()
+        }
     }
 
     private fun scheduleWakeUp() {
--- a/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
+++ b/bronzetide-http/src/main/kotlin/org/bronzetide/http/TrafficLoop.kt
@@ -89,25 +89,32 @@
 
     private fun run() {
         while (isOpen) {
-            runTasks()
-            runDueTimers()
-            isSelecting.set(true)
-            val waitMs = if (tasks.isEmpty()) timeToNextTimerMs() else 0
             try {
-                if (waitMs == 0L) {
-                    selector.selectNow(::onReady)
-                } else {
-                    selector.select(::onReady, waitMs)
-                }
+                runTasks()
+                runDueTimers()
+                select()
             } catch (cause: Throwable) {
-                logFailure("select on sockets failed", cause)
+                logFailure("pass of the traffic loop failed", cause)
             }
-            isSelecting.set(false)
         }
         while (true) runTask(tasks.poll() ?: break)
         selector.close()
     }
 
+    private fun select() {
+        isSelecting.set(true)
+        try {
+            val waitMs = if (tasks.isEmpty()) timeToNextTimerMs() else 0
+            if (waitMs == 0L) {
+                selector.selectNow(::onReady)
+            } else {
+                selector.select(::onReady, waitMs)
+            }
+        } finally {
+            isSelecting.set(false)
+        }
+    }
+
     private fun runTasks() {
         repeat(MAX_TASKS_BETWEEN_SELECTS) { runTask(tasks.poll() ?: return) }
     }
@@ -128,8 +135,8 @@
 
     private fun logFailure(message: String, cause: Throwable) = try {
         log.error(message, cause)
-    } catch (_: OutOfMemoryError) {
-        // Logging needs memory, too.
+    } catch (_: Throwable) {
+        // Logging needs memory and stack, too, and nothing would start the loop again.
     }
 
     /** The milliseconds until the next timer is due, or [FOREVER_MS] without a timer. */
