--- a/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
+++ b/bronzetide-scheduling/src/main/kotlin/org/bronzetide/scheduling/fleet/FleetScheduler.kt
@@ -413,7 +413,7 @@
 
     /** The targets of one service as they are open to a ticket. */
     internal class Options(
-        /** The targets of the ticket's version that do not rest and are not ejected. */
+        /** The targets of the ticket's version that do not rest; none ejected if one is not. */
         val usable: List<TargetLoad>,
         val counts: ExpectedCounts,
         /** Whether this host uses its share of the slots of targets without a limit. */
@@ -450,17 +450,22 @@
 
     private fun optionsFor(ticket: FleetTicket, rank: Int, nowMs: Long): Options {
         val service = ticket.service
-        val usable = activeTargets[service].orEmpty().usable(nowMs)
+        val active = activeTargets[service].orEmpty()
+        val usable = active.usable(nowMs)
+        // Ejected targets are better than none of the version, as they are for a whole service.
+        val accepted =
+            if (ticket.version == null) usable else active.acceptedBy(ticket).usable(nowMs)
         val counts =
             fleet.expectedCounts(service, overloadPolicies.of(service).typicalRunMs, nowMs)
-        val (limited, others) = usable.partition { limits.perSecond(it.spec.ref) != null }
-        val isShareUsed = usesOwnShare(service, rank, others, counts, nowMs)
+        val unlimited = usable.filter { limits.perSecond(it.spec.ref) == null }
+        val isShareUsed = usesOwnShare(service, rank, unlimited, counts, nowMs)
+        val (limited, others) = accepted.partition { limits.perSecond(it.spec.ref) != null }
         // Permits are shares already, and are lost if they are not used.
         val open = limited.filter { limits.maySend(it.spec.ref, nowMs) } +
             others.takeUnless { isShareUsed }.orEmpty()
         val reserved = fleet.reservedSlots(service, rank, usable)
-        val free = open.filter { ticket.accepts(it.spec) && counts.isFree(it, reserved) }
-        return Options(usable.acceptedBy(ticket), counts, isShareUsed, reserved, free)
+        val free = open.filter { counts.isFree(it, reserved) }
+        return Options(accepted, counts, isShareUsed, reserved, free)
     }
 
     /**
--- a/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/StreamVersionSchedulingTest.kt
+++ b/bronzetide-scheduling/src/test/kotlin/org/bronzetide/scheduling/fleet/StreamVersionSchedulingTest.kt
@@ -191,6 +191,22 @@
         }
     }
 
+    /** Guards against a stream that waits for seconds as all targets of its version are ejected. */
+    @Example
+    fun ejectedTargetsAreUsedIfTheVersionHasNoOthers() {
+        val targets = listOf("a" to "1", "b" to "1", "c" to "2", "d" to "2")
+        scheduler.updateTargets(targets.map { (id, version) -> target(id, version) })
+        repeat(8) {
+            enroll("1")
+            if (sentTo(sequences) != null) scheduler.release(sequences, FleetOutcome.FAILED, 0)
+        }
+        assertThat(scheduler.suspects(1)).containsExactlyInAnyOrder("a", "b")
+        enroll("1")
+        assertThat(sentTo(sequences)).isIn("a", "b")
+        enroll(null)
+        assertThat(sentTo(sequences)).isIn("c", "d")
+    }
+
     private fun enroll(version: String?) {
         val ticket = ticket(version)
         scheduler.enroll(ticket, 0) { decisions[ticket.sequence] = it }
