--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/FleetStreamOrigins.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/FleetStreamOrigins.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.streams
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.ControlLoop
 import org.bronzetide.scheduling.streams.StreamId
 import org.bronzetide.scheduling.streams.StreamOrigin
@@ -27,6 +28,13 @@
         val result = CompletableDeferred<StreamOrigins.Continuation>()
         val id = firstRequestId?.let(StreamId::of)
         control.call { resolver.resolve(id, services) { result.complete(it) } }
-        return result.await()
+        // A failure on the control thread may leave a query without its end.
+        return withTimeoutOrNull(LIMIT_MS) { result.await() }
+            ?: StreamOrigins.Continuation.Unknown("the query for the stream failed")
+    }
+
+    private companion object {
+        /** Much longer than a query takes. */
+        const val LIMIT_MS = 1_000L
     }
 }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
@@ -10,6 +10,7 @@
 import org.bronzetide.coordination.MemberState
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.coordination.NodeId
+import org.bronzetide.edge.peer.PeerMessage
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.scheduling.fleet.SoftwareVersion
@@ -56,6 +57,35 @@
         assertThat(found).isInstanceOf(Continuation.Unknown::class.java)
     }
 
+    /** Guards against a request that waits without an end as a message could not be sent. */
+    @Example
+    fun lookupEndsThoughWhatFollowsAReplyFails() = runBlocking<Unit> {
+        lateinit var failing: StreamExchange
+        val versions = ServedVersions()
+        failing = StreamExchange(
+            "h0",
+            clock,
+            control.timers,
+            versions,
+            DecisionLog(clock, omitsRequests = true),
+            send = { ip, message ->
+                if (message !is PeerMessage.StreamQuery) error("cannot be sent")
+                val seen = listOf("1", "2").map { PeerMessage.SeenVersion(it, 0) }
+                val found = PeerMessage.ServiceVersions("chat", seen, isSettled = true)
+                val reply = PeerMessage.StreamReply(message.query, services = listOf(found))
+                control.post { failing.onReply(reply, ip) }
+            }
+        )
+        control.call {
+            val id = NodeId.ofNewProcess("h1")
+            failing.updateMembers(listOf(Member(id, "z1", "127.0.0.1", 1, 0, MemberState.ALIVE)))
+        }
+        val subject =
+            FleetStreamOrigins(control, failing, StreamResolver(clock, versions, failing) { true })
+        val found = withTimeout(LIMIT_MS) { subject.find("r1", listOf("chat")) }
+        assertThat(found).isInstanceOf(Continuation.Unknown::class.java)
+    }
+
     private companion object {
         const val LIMIT_MS = 5_000L
     }
