--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamKeepers.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamKeepers.kt
@@ -68,7 +68,12 @@
     companion object {
         /** A stream is known as long as one of two hosts lives, or the one that began it. */
         private const val KEEPERS = 2
-        private const val ASKED = KEEPERS + 1
+
+        /**
+         * More than the keepers: on small fleets the host that began the stream is among them,
+         * which has told no keeper of it if its service had one version.
+         */
+        private const val ASKED = 8
         private const val SLOTS = 256
 
         /** The slot of the stream [id]. */
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsReviewTest.kt
@@ -0,0 +1,92 @@
+package org.bronzetide.edge.streams
+
+import net.jqwik.api.Example
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.peer.PeerNetwork
+import org.bronzetide.edge.streams.StreamOrigins.Continuation
+import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.SoftwareVersion
+import org.bronzetide.scheduling.streams.StreamId
+import org.bronzetide.scheduling.streams.StreamOrigin
+
+/** Streams of routes that lead, or led, to more than one service. */
+class StreamsReviewTest {
+    private val network = PeerNetwork(seed = 2)
+    private val hosts get() = network.hosts
+
+    /** Guards against needless refusals at weighted routes whose services have one version each. */
+    @Example
+    fun streamOfAWeightedRouteGoesOnAtAnotherHost() {
+        start("a" to listOf("1"), "b" to listOf("2"))
+        hosts[0].begin("r1", "a", "1")
+        network.run(1_000)
+        hosts.drop(1).forEach {
+            assertThat(it.find("r1", listOf("a", "b")))
+                .isEqualTo(Continuation.At(StreamOrigin("a", SoftwareVersion("1"))))
+        }
+    }
+
+    /** Guards against a stream that is joined as its route has been moved to another service. */
+    @Example
+    fun streamOfAServiceThatTheRouteHasLeftIsNotJoined() {
+        start("a" to listOf("1"), "b" to listOf("2"))
+        hosts[0].begin("r1", "a", "1")
+        network.run(1_000)
+        hosts.forEach {
+            assertThat(it.find("r1", listOf("b"))).isInstanceOf(Continuation.Unknown::class.java)
+        }
+    }
+
+    /** Guards against streams of an earlier, longer time limit that are joined after a change. */
+    @Example
+    fun shorterWindowDoesNotForgetAVersionWhoseStreamsMayBeTakenUp() {
+        start("a" to listOf("1"), windowMs = 120_000)
+        hosts[0].begin("r1", "a", "1")
+        hosts.forEach { it.observe("a" to listOf("1", "2")) }
+        network.run(1_000)
+        hosts.forEach { it.observe("a" to listOf("2")) }
+        // Those that know the stream are lost.
+        hosts.removeIf { it.streams.find(StreamId.of("r1")) != null }
+        // The manifest now has a shorter time limit; the stream began under the longer one.
+        hosts.forEach { it.versions.windowMs = 10_000 }
+        network.run(15_000)
+        val took = hosts.map { it.find("r1", listOf("a")) }
+        assertThat(took).doesNotContain(
+            Continuation.At(StreamOrigin("a", SoftwareVersion("2")))
+        )
+    }
+
+    private fun start(
+        vararg services: Pair<String, List<String>>,
+        windowMs: Long = PeerNetwork.STREAM_WINDOW_MS
+    ) {
+        network.startHosts(8)
+        network.run(2_000)
+        hosts.forEach {
+            it.versions.windowMs = windowMs
+            it.observe(*services)
+            it.versions.settle()
+        }
+        network.run(2_000)
+    }
+
+    private fun PeerNetwork.Host.observe(vararg services: Pair<String, List<String>>) {
+        val targets = services.flatMap { (service, versions) ->
+            versions.map {
+                FleetTarget("$service$it", service, "z1", 8, false, isEngine = true, version = it)
+            }
+        }
+        versions.updateTargets(targets, network.clock.nowMs())
+        streams.updateMixedServices()
+    }
+
+    private fun PeerNetwork.Host.begin(request: String, service: String, version: String) =
+        streams.record(StreamId.of(request), StreamOrigin(service, SoftwareVersion(version)))
+
+    private fun PeerNetwork.Host.find(request: String, services: List<String>): Continuation {
+        var result: Continuation? = null
+        origins.resolve(StreamId.of(request), services) { result = it }
+        while (result == null) network.run(PeerNetwork.STEP_MS)
+        return checkNotNull(result)
+    }
+}
