Take-ups: streams of routes with several services, and of a window that became shorter

After a change to a shorter time limit, the versions of the earlier, longer window were forgotten, and a take-up was joined.

Cause: "the service has one version, so the stream began there" holds only if the route has, and had, one service, and the window was applied at once.

Services that share a route, or shared or left one within the window, are ambiguous: the rule is not applied, and their streams are sent to keepers as those of mixed services are. A shorter window takes effect once the longer one has passed. Take-ups wait for the store only in the first 2 s, and only if no host has answered. Metrics have two outcomes each instead of the reasons.

The tests of StreamsOfChangedRoutesTest (StreamsReviewTest before, as strict) failed on the code before and pass now, as do the other stream tests.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/entry/AdmissionController.kt
@@ -104,7 +104,7 @@
         if (route.kind !is RouteKind.Streaming) return null
         val stream = metadata.takenUpStream ?: return null
         val found = origins.find(stream.firstRequestId, route.services.map { it.service })
-        metrics.onStreamTakenUp((found as? Continuation.Unknown)?.reason ?: "continued")
+        metrics.onStreamTakenUp(if (found is Continuation.At) "continued" else "refused")
         return found
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/forwarding/RequestForwarder.kt
@@ -194,7 +194,7 @@
         state.ticketSequence = ticket.sequence
         val decision = scheduler.awaitDecision(ticket, state.call.route.name, state.sends == 0)
         if (state.relay.isStarted) {
-            metrics.onStreamResumption((decision as? FleetDecision.Refuse)?.reason ?: "sent")
+            metrics.onStreamResumption(if (decision is FleetDecision.Send) "sent" else "refused")
         }
         return decision
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerSocket.kt
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.DatagramChannel
+import java.nio.channels.UnresolvedAddressException
 import kotlin.concurrent.thread
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
@@ -48,6 +49,9 @@
             channel.send(ByteBuffer.wrap(bytes), InetSocketAddress(to.host, to.port))
         } catch (cause: IOException) {
             log.failure("sending a datagram failed", cause, "to" to to.toString())
+        } catch (cause: UnresolvedAddressException) {
+            // The address is that of a member, as another host has stated it.
+            log.failure("sending a datagram failed", cause, "to" to to.toString())
         }
     }
 
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -26,7 +26,7 @@
 internal class StreamControl(
     settings: HostSettings,
     private val control: ControlLoop,
-    clock: MonotonicClock,
+    private val clock: MonotonicClock,
     store: FleetStore,
     log: DecisionLog,
     metrics: EdgeMetrics,
@@ -36,8 +36,8 @@
 ) : StreamOrigins {
     private val versions = ServedVersions()
 
-    /** The services of routes whose streams may be resumed; empty until there is a manifest. */
-    private var resumableServices: Set<String> = emptySet()
+    private val routeServices = RouteServices()
+    private val window = StreamWindow(control.timers, versions)
 
     /** What the messages between hosts carry of streams. */
     val exchange: StreamExchange = StreamExchange(
@@ -46,7 +46,8 @@
         control.timers,
         versions,
         log,
-        { ip, message -> sendToPeer(SocketAddress(ip, settings.peerPorts.first), message) }
+        { ip, message -> sendToPeer(SocketAddress(ip, settings.peerPorts.first), message) },
+        { routeServices.ambiguous(clock.nowMs()) }
     )
     private val history = VersionHistory(
         control,
@@ -71,13 +72,23 @@
         metrics
     )
     private val hasOtherSeeds = settings.seeds.any { it.host != settings.ip }
-    private val resolver = StreamResolver(clock, versions, exchange) {
-        history.isRead && (exchange.hasPeers || !hasOtherSeeds)
-    }
+    private val resolver = StreamResolver(
+        clock,
+        versions,
+        exchange,
+        { routeServices.isAmbiguous(it, clock.nowMs()) },
+        { isStarting && !(history.isRead && (exchange.hasPeers || !hasOtherSeeds)) }
+    )
     private val fleet = FleetStreamOrigins(control, exchange, resolver)
 
+    /** When [start] was called, in milliseconds on the clock. */
+    @Volatile
+    private var startedAtMs = clock.nowMs()
+    private val isStarting get() = clock.nowMs() - startedAtMs < START_MS
+
     /** Starts to read and write the store. */
     fun start(scope: CoroutineScope) {
+        startedAtMs = clock.nowMs()
         scope.launch { history.run() }
         scope.launch { snapshots.run() }
     }
@@ -85,18 +96,18 @@
     /** Takes over the known targets; must be called on the control thread. */
     fun onTargets(targets: List<FleetTarget>, nowMs: Long) {
         versions.updateTargets(targets, nowMs)
-        exchange.updateMixedServices()
+        exchange.updateSharedServices()
         history.wake()
     }
 
     /** Takes over the current manifest; must be called on the control thread. */
     fun onManifest(manifest: Manifest) {
-        val routes =
-            manifest.routes.filter { it.kind is RouteKind.Streaming && it.kind.isSafeToRetry }
-        resumableServices = routes.flatMapTo(HashSet()) { it.services.map { part -> part.service } }
-        val longestMs = routes.maxOfOrNull { it.timeoutMs } ?: return
-        versions.windowMs =
-            (longestMs * WINDOW_TIMEOUTS).coerceIn(MIN_WINDOW_MS, ServedVersions.MAX_WINDOW_MS)
+        val longestMs = manifest.routes
+            .filter { it.kind is RouteKind.Streaming && it.kind.isSafeToRetry }
+            .maxOfOrNull { it.timeoutMs }
+        longestMs?.let(window::onTimeLimit)
+        routeServices.update(manifest, versions.windowMs, clock.nowMs())
+        exchange.updateSharedServices()
         history.wake()
     }
 
@@ -112,19 +123,21 @@
         firstRequestId: String?,
         services: List<String>
     ): StreamOrigins.Continuation {
+        val found = fleet.find(firstRequestId, services)
+        if (found is StreamOrigins.Continuation.At || !isStarting || snapshots.isRead) return found
         snapshots.awaitRead(START_READ_LIMIT_MS)
         return fleet.find(firstRequestId, services)
     }
 
     private inner class Observed : VersionHistory.ObservedVersions {
-        override val services get() = resumableServices
+        override val services get() = routeServices.names
         override val windowMs get() = versions.windowMs
 
         override fun of(service: String, nowMs: Long) = versions.of(service, nowMs)
 
         override fun add(service: String, versions: Set<SoftwareVersion>, nowMs: Long) {
             this@StreamControl.versions.add(service, versions, nowMs)
-            exchange.updateMixedServices()
+            exchange.updateSharedServices()
         }
 
         override fun isSettled(service: String, nowMs: Long) = versions.isSettled(service, nowMs)
@@ -135,16 +148,15 @@
     }
 
     private inner class Services : StreamSnapshots.Services {
-        override val names get() = resumableServices
+        override val names get() = routeServices.names
         override val windowMs get() = versions.windowMs
 
         override fun isMixed(service: String, nowMs: Long) = versions.isMixed(service, nowMs)
     }
 
     private companion object {
-        /** A stream and the requests that take it up each end within their route's time limit. */
-        const val WINDOW_TIMEOUTS = 2L
-        const val MIN_WINDOW_MS = 10_000L
+        /** Longer than a host that starts takes to find its peers and to read the store. */
+        const val START_MS = 2_000L
 
         /** Two calls to the store, which takes a few milliseconds for each unless it is slow. */
         const val START_READ_LIMIT_MS = 500L
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
@@ -34,6 +34,8 @@
     private val versions: ServedVersions,
     private val log: DecisionLog,
     private val send: (ip: String, PeerMessage) -> Unit,
+    /** The services with one version whose streams the keepers must know all the same. */
+    private val ambiguousServices: () -> Set<String> = { emptySet() },
     private val random: Random = Random.Default
 ) {
     /** The streams that have begun or gone on at this host, and those kept for others. */
@@ -48,6 +50,9 @@
     private val sender = StreamSender(clock, timers, ::find, ::untilMs, ::sendTo)
     private var mixedServices: Set<String> = emptySet()
 
+    /** The services whose streams are sent to keepers: [mixedServices] and ambiguous ones. */
+    private var sharedServices: Set<String> = emptySet()
+
     /** Whether other hosts are known that are not dead. */
     val hasPeers: Boolean get() = keepers.hasHosts
 
@@ -76,8 +81,10 @@
     fun record(id: StreamId, origin: StreamOrigin) {
         val nowMs = clock.nowMs()
         own.put(id, origin, nowMs + versions.windowMs)
-        if (!versions.isMixed(origin.service, nowMs)) return
-        updateMixedServices()
+        val isShared = versions.isMixed(origin.service, nowMs) ||
+            origin.service in sharedServices
+        if (!isShared) return
+        updateSharedServices()
         inform(id).forEach { sender.sendSoon(id, it.name) }
     }
 
@@ -102,7 +109,7 @@
         val askedAtMs = clock.nowMs()
         queries.ask(id, services, hosts.map { it.ip }) { answer ->
             answer.replies.flatMap { it.services }.forEach { learn(it, askedAtMs) }
-            updateMixedServices()
+            updateSharedServices()
             onAnswer(answer)
         }
     }
@@ -127,7 +134,7 @@
                 informed.getOrPut(StreamKeepers.slotOf(id)) { keepersOf(id) }
             }
         }
-        updateMixedServices()
+        updateSharedServices()
     }
 
     /** Replies to a query of the host at [senderIp]. */
@@ -164,19 +171,21 @@
         val nowMs = clock.nowMs()
         own.expire(nowMs)
         kept.expire(nowMs)
-        updateMixedServices()
+        updateSharedServices()
     }
 
     /**
-     * Informs other hosts of the services that have got a second version, and of the streams there.
-     * Should be called when the targets have changed, before requests are sent to the new ones.
+     * Informs other hosts of the services that have got a second version, and of the streams that
+     * keepers must know since. Should be called when targets or routes have changed, before
+     * requests are sent to the new ones.
      */
-    fun updateMixedServices() {
+    fun updateSharedServices() {
         val nowMs = clock.nowMs()
         val mixed = versions.services.filterTo(HashSet()) { versions.isMixed(it, nowMs) }
-        if (mixed == mixedServices) return
-        val added = mixed - mixedServices
-        (added + (mixedServices - mixed)).forEach { service ->
+        val shared = mixed + ambiguousServices()
+        if (mixed == mixedServices && shared == sharedServices) return
+        val newlyMixed = mixed - mixedServices
+        (newlyMixed + (mixedServices - mixed)).forEach { service ->
             val names = versions.of(service, nowMs).map { it.name }
             log.stateChange(
                 "service versions",
@@ -186,13 +195,15 @@
                 "versions" to names.sorted().take(MAX_LOGGED_VERSIONS)
             )
         }
+        val added = shared - sharedServices
         mixedServices = mixed
-        added.forEach { announce(it, nowMs) }
+        sharedServices = shared
+        newlyMixed.forEach { announce(it, nowMs) }
         // Callers take up the streams that began last for the longest time.
         own.live(nowMs).filterValues { it.service in added }.keys.reversed().forEach { id ->
             inform(id).forEach { sender.sendLater(id, it.name) }
         }
-        if (mixed.isEmpty()) informed.clear()
+        if (shared.isEmpty()) informed.clear()
     }
 
     private fun announce(service: String, nowMs: Long) {
@@ -207,7 +218,7 @@
 
     /** The streams that other hosts must know, those that began last first. */
     private fun shared(nowMs: Long): List<StreamId> =
-        (own.live(nowMs).filterValues { it.service in mixedServices }.keys + kept.live(nowMs).keys)
+        (own.live(nowMs).filterValues { it.service in sharedServices }.keys + kept.live(nowMs).keys)
             .reversed()
 
     private fun inform(id: StreamId): Set<StreamKeepers.KeeperHost> =
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -22,11 +22,11 @@
     private val clock: MonotonicClock,
     private val versions: ServedVersions,
     private val exchange: StreamExchange,
-    /** Whether this host has read the store and found its peers. */
-    private val hasJoined: () -> Boolean
+    /** Whether a stream of a route to a service may have begun at another one. */
+    private val isAmbiguous: (service: String) -> Boolean,
+    /** Whether this host has just started, and has yet to read the store or to find its peers. */
+    private val mayKnowMoreSoon: () -> Boolean
 ) {
-    private val startedAtMs = clock.nowMs()
-
     /** Passes the place where [id] may go on among [services] to [onResult], once. */
     fun resolve(id: StreamId?, services: List<String>, onResult: (Continuation) -> Unit) {
         val known = id?.let(exchange::find)
@@ -57,12 +57,17 @@
         val served = versions.of(service, nowMs)
         val isSettled = versions.isSettled(service, nowMs) || found.any { it.isSettled }
         return when {
+            isAmbiguous(service) -> unknown("the route leads, or has led, to several services")
+
             served.size > 1 -> unknown("the service had ${served.size} versions")
 
             served.isEmpty() -> unknown("the versions of the service are not known")
 
             answer.askedCount > 0 && found.all { it.versions.isEmpty() } ->
-                unknown("none of ${answer.askedCount} hosts told the versions of the service")
+                Continuation.Unknown(
+                    "none of ${answer.askedCount} hosts told the versions of the service",
+                    RETRY_AFTER_MS
+                )
 
             !isSettled -> unknown("earlier versions of the service are not known")
 
@@ -73,13 +78,7 @@
     private fun unknown(reason: String): Continuation.Unknown =
         Continuation.Unknown(reason, if (mayKnowMoreSoon()) RETRY_AFTER_MS else null)
 
-    /** Whether this host has just started and has yet to read the store or to find its peers. */
-    private fun mayKnowMoreSoon(): Boolean = clock.nowMs() - startedAtMs < START_MS &&
-        !hasJoined()
-
     private companion object {
-        /** Longer than a host that starts takes to find its peers and to read the store. */
-        const val START_MS = 2_000L
         const val RETRY_AFTER_MS = 500L
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
@@ -78,6 +78,9 @@
     private val backoff = StoreBackoff()
     private val firstRead = CompletableDeferred<Unit>()
 
+    /** Whether the store was read at the start, or need not or could not be. Any thread. */
+    val isRead: Boolean get() = firstRead.isCompleted
+
     /** Waits until the store was read at the start, but no longer than [limitMs]. Any thread. */
     suspend fun awaitRead(limitMs: Long) {
         withTimeoutOrNull(limitMs) { firstRead.await() }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -35,11 +35,11 @@
     fun onFailedSend(outcome: String) = Counter.builder("bronzetide.edge.failed.sends")
         .tag("outcome", outcome).register(registry).increment()
 
-    /** Counts a stream that a caller takes up: `continued`, or why it cannot go on. */
+    /** Counts a stream that a caller takes up: `continued` or `refused`. */
     fun onStreamTakenUp(outcome: String) = Counter.builder("bronzetide.edge.streams.taken.up")
         .tag("outcome", outcome).register(registry).increment()
 
-    /** Counts a run that is to resume a broken stream: `sent`, or why none could be sent. */
+    /** Counts a run that is to resume a broken stream: `sent` or `refused`. */
     fun onStreamResumption(outcome: String) = Counter.builder("bronzetide.edge.stream.resumptions")
         .tag("outcome", outcome).register(registry).increment()
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -7,6 +7,7 @@
 import org.bronzetide.edge.standin.EdgeTestEnvironment
 import org.bronzetide.edge.streams.StreamExchange
 import org.bronzetide.edge.streams.StreamResolver
+import org.bronzetide.edge.streams.StreamWindow
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.platform.fleet.SocketAddress
 import org.bronzetide.scheduling.fleet.FleetDecision
@@ -106,6 +107,8 @@
         private val exchange: RolloutExchange = RolloutExchange(rollouts, hasOtherSeeds = true)
         val versions = ServedVersions(windowMs = STREAM_WINDOW_MS)
         var isHistoryRead = false
+        private val createdAtMs = clock.nowMs()
+        val window = StreamWindow(timers, versions)
         val streams = StreamExchange(
             name,
             clock,
@@ -113,9 +116,11 @@
             versions,
             DecisionLog(clock, omitsRequests = true),
             { to, message -> deliver(this, SocketAddress(to, 7_600), message) },
-            Random(index)
+            random = Random(index)
         )
-        val origins = StreamResolver(clock, versions, streams) { isHistoryRead && streams.hasPeers }
+        val origins = StreamResolver(clock, versions, streams, { false }) {
+            clock.nowMs() - createdAtMs < STREAM_START_MS && !(isHistoryRead && streams.hasPeers)
+        }
         private val settings = EdgeTestEnvironment.settings(1, name).copy(
             ip = ip,
             peerPorts = 7_600..7_600,
@@ -190,6 +195,7 @@
     companion object {
         const val STEP_MS = 10L
         const val STREAM_WINDOW_MS = 20_000L
+        const val STREAM_START_MS = 2_000L
         const val QUOTA_PER_S = 60_000.0
         const val QUOTA_SLACK = 140_000.0
         private val SYSTEM = PromptPart("system")
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
@@ -29,7 +29,7 @@
         DecisionLog(clock, omitsRequests = true),
         send = { _, _ -> }
     )
-    private val resolver = StreamResolver(clock, ServedVersions(), exchange) { true }
+    private val resolver = StreamResolver(clock, ServedVersions(), exchange, { false }) { false }
     private val origins = FleetStreamOrigins(control, exchange, resolver)
 
     @AfterTry
@@ -80,8 +80,8 @@
             val id = NodeId.ofNewProcess("h1")
             failing.updateMembers(listOf(Member(id, "z1", "127.0.0.1", 1, 0, MemberState.ALIVE)))
         }
-        val subject =
-            FleetStreamOrigins(control, failing, StreamResolver(clock, versions, failing) { true })
+        val failingResolver = StreamResolver(clock, versions, failing, { false }) { false }
+        val subject = FleetStreamOrigins(control, failing, failingResolver)
         val found = withTimeout(LIMIT_MS) { subject.find("r1", listOf("chat")) }
         assertThat(found).isInstanceOf(Continuation.Unknown::class.java)
     }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamInterleavingsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamInterleavingsTest.kt
@@ -265,9 +265,9 @@
                     versions,
                     log,
                     { to, message -> send(to, message, self) },
-                    Random(index)
+                    random = Random(index)
                 )
-                resolver = StreamResolver(clock, versions, exchange) { isSettled }
+                resolver = StreamResolver(clock, versions, exchange, { false }) { false }
                 isAlive = true
                 exchange.start()
                 if (isSettled) versions.settle()
@@ -281,7 +281,7 @@
                     FleetTarget("t$it", SERVICE, "z1", 8, false, isEngine = true, version = it)
                 }
                 versions.updateTargets(targets, clock.nowMs())
-                exchange.updateMixedServices()
+                exchange.updateSharedServices()
             }
         }
     }
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsAcrossHostsTest.kt
@@ -278,7 +278,7 @@
 
     private fun PeerNetwork.Host.observe(versions: List<String>) {
         versions(versions)
-        streams.updateMixedServices()
+        streams.updateSharedServices()
     }
 
     private fun PeerNetwork.Host.versions(names: List<String>) = versions.updateTargets(
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsReviewTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
@@ -9,8 +9,8 @@
 import org.bronzetide.scheduling.streams.StreamId
 import org.bronzetide.scheduling.streams.StreamOrigin
 
-/** Streams of routes that lead, or led, to more than one service. */
-class StreamsReviewTest {
+/** Streams of routes that lead, or led, to more than one service or had a longer time limit. */
+class StreamsOfChangedRoutesTest {
     private val network = PeerNetwork(seed = 2)
     private val hosts get() = network.hosts
 
@@ -40,7 +40,7 @@
     /** Guards against streams of an earlier, longer time limit that are joined after a change. */
     @Example
     fun shorterWindowDoesNotForgetAVersionWhoseStreamsMayBeTakenUp() {
-        start("a" to listOf("1"), windowMs = 120_000)
+        start("a" to listOf("1"), longestMs = 60_000)
         hosts[0].begin("r1", "a", "1")
         hosts.forEach { it.observe("a" to listOf("1", "2")) }
         network.run(1_000)
@@ -48,22 +48,25 @@
         // Those that know the stream are lost.
         hosts.removeIf { it.streams.find(StreamId.of("r1")) != null }
         // The manifest now has a shorter time limit; the stream began under the longer one.
-        hosts.forEach { it.versions.windowMs = 10_000 }
+        hosts.forEach { it.window.onTimeLimit(5_000) }
         network.run(15_000)
         val took = hosts.map { it.find("r1", listOf("a")) }
         assertThat(took).doesNotContain(
             Continuation.At(StreamOrigin("a", SoftwareVersion("2")))
         )
+        hosts.forEach { assertThat(it.versions.windowMs).isEqualTo(120_000) }
+        network.run(106_000)
+        hosts.forEach { assertThat(it.versions.windowMs).isEqualTo(10_000) }
     }
 
     private fun start(
         vararg services: Pair<String, List<String>>,
-        windowMs: Long = PeerNetwork.STREAM_WINDOW_MS
+        longestMs: Long = PeerNetwork.STREAM_WINDOW_MS / 2
     ) {
         network.startHosts(8)
         network.run(2_000)
         hosts.forEach {
-            it.versions.windowMs = windowMs
+            it.window.onTimeLimit(longestMs)
             it.observe(*services)
             it.versions.settle()
         }
@@ -77,7 +80,7 @@
             }
         }
         versions.updateTargets(targets, network.clock.nowMs())
-        streams.updateMixedServices()
+        streams.updateSharedServices()
     }
 
     private fun PeerNetwork.Host.begin(request: String, service: String, version: String) =
