ProcessStartTest: the settings file is replaced in one step

settingsThatChangeWithoutASignalAreApplied asserts that an invalid file is logged once. Writing truncates the file first, and a process that read it then would have found two kinds of invalid content. Found by reading; not seen in a run. The assertions are unchanged.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ProcessStartTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/ProcessStartTest.kt
@@ -4,6 +4,7 @@
 import java.io.IOException
 import java.net.Socket
 import java.nio.file.Files
+import java.nio.file.StandardCopyOption
 import net.jqwik.api.Example
 import net.jqwik.api.lifecycle.AfterTry
 import org.assertj.core.api.Assertions.assertThat
@@ -82,12 +83,12 @@
         val process = start()
         awaitOutput(process, "\"started\"")
         val changed = text.replace("seeds=", "seeds=127.0.0.9:4001")
-        settings.writeText(changed.take(changed.length / 3))
+        replaceSettings(changed.take(changed.length / 3))
         process.signal("HUP")
         awaitOutput(process, "settings not usable")
-        settings.writeText(changed)
+        replaceSettings(changed)
         awaitOutput(process, "\"seeds\":[\"127.0.0.9:4001\"],\"needsRestart\":false")
-        settings.writeText(changed.replace("zone=z1", "zone=z2"))
+        replaceSettings(changed.replace("zone=z1", "zone=z2"))
         awaitOutput(process, "\"needsRestart\":true")
         assertThat(process.output.split("settings not usable")).hasSize(2)
     }
@@ -100,11 +101,17 @@
             process.signal("HUP")
             assertThat(process.isRunning).isTrue()
         }
-        settings.writeText(text.replace("seeds=", "seeds=127.0.0.9:4001"))
+        replaceSettings(text.replace("seeds=", "seeds=127.0.0.9:4001"))
         process.signal("HUP")
         awaitOutput(process, "\"seeds\":[\"127.0.0.9:4001\"]")
     }
 
+    /** Replaces the file in one step, so that the process finds no other content meanwhile. */
+    private fun replaceSettings(content: String) {
+        val next = File(directory, "next.conf").apply { writeText(content) }
+        Files.move(next.toPath(), settings.toPath(), StandardCopyOption.ATOMIC_MOVE)
+    }
+
     private fun start(arguments: List<String> = emptyList(), ignoresHangUp: Boolean = false) =
         EdgeProcess(settings, File(directory, "log-${processes.size}"), ignoresHangUp, arguments)
             .also(processes::add)
