--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/RouteServicesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/RouteServicesTest.kt
@@ -41,25 +41,47 @@
         assertThat(services.isAmbiguous("z", 2_000)).isTrue()
     }
 
+    @Example
+    fun routeThatIsAddedAgainWithAnotherServiceIsAmbiguousForAWindow() {
+        update(0, route("/a/", "x"), route("/b/", "z"))
+        update(1_000, route("/b/", "z"))
+        update(2_000, route("/b/", "z"), route("/c/", "z"))
+        update(3_000, route("/a/", "y"), route("/b/", "z"))
+        assertThat(services.ambiguous(3_000)).containsExactlyInAnyOrder("x", "y")
+        update(9_000, route("/a/", "y"))
+        assertThat(services.ambiguous(1_000 + WINDOW_MS - 1)).contains("y")
+        assertThat(services.ambiguous(1_000 + WINDOW_MS)).isEmpty()
+    }
+
+    @Example
+    fun routeThatIsAddedAgainForALongerOrShorterPathIsAmbiguous() {
+        update(0, route("/a/", "x"), route("/b/c/", "u"), route("/d/", "z"))
+        update(1_000, route("/d/", "z"))
+        update(2_000, route("/a/e/", "y"), route("/b/", "v"), route("/d/", "z"))
+        assertThat(services.ambiguous(2_000)).containsExactlyInAnyOrder("x", "y", "u", "v")
+        update(1_000 + WINDOW_MS, route("/a/f/", "w"), route("/d/", "z"))
+        assertThat(services.isAmbiguous("w", 1_000 + WINDOW_MS)).isFalse()
+    }
+
     private fun update(nowMs: Long, vararg routes: Route) {
         val manifest = Manifest(1, routes.asList(), emptyMap(), emptyList(), CallerLimits())
         services.update(manifest, WINDOW_MS, nowMs)
     }
 
-    private fun route(path: String, vararg services: String) = Route(
-        path,
-        "h",
-        path,
-        RouteKind.Streaming(isResumable = true, maxEventIntervalMs = 300),
-        timeoutMs = 5_000,
-        targetLatencyMs = 400,
-        priority = 0,
-        maxAttempts = 2,
-        isPublic = false,
-        services.map { WeightedService(it, 1.0) }
-    )
+    companion object {
+        private const val WINDOW_MS = 10_000L
 
-    private companion object {
-        const val WINDOW_MS = 10_000L
+        fun route(path: String, vararg services: String): Route = Route(
+            path,
+            "h",
+            path,
+            RouteKind.Streaming(isResumable = true, maxEventIntervalMs = 300),
+            timeoutMs = 5_000,
+            targetLatencyMs = 400,
+            priority = 0,
+            maxAttempts = 2,
+            isPublic = false,
+            services.map { WeightedService(it, 1.0) }
+        )
     }
 }
