Take-ups: peers tell a host of routes that were moved before it started

A caller's stream whose first host and keepers were lost went on at another service's version if its route had been moved and the request reached a host that started after that.

Cause: a host that starts sees only the latest manifest, so that it took the service for one to which the route had always led, whereas its peers knew better and were not asked. A record that is lost must mean a refusal.

The replies to a query now also say whether the service is ambiguous; one such reply suffices for a refusal. The test of the moved route failed before. The hosts of PeerNetwork now have the services of routes, as those of a process have; the test of a weighted route at 24 hosts shows that its streams are at their keepers.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/peer/PeerMessage.kt
@@ -118,7 +118,9 @@
         @CborLabel(1) val service: String,
         @CborLabel(2) val versions: List<SeenVersion>,
         /** Whether the sender knows all versions that it had. */
-        @CborLabel(3) val isSettled: Boolean
+        @CborLabel(3) val isSettled: Boolean,
+        /** Whether a stream of a route to [service] may have begun at another one. */
+        @CborLabel(4) val isAmbiguous: Boolean = false
     )
 
     /** A version that last had targets [agoMs] milliseconds before the message. */
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
@@ -141,10 +141,12 @@
     fun onQuery(message: PeerMessage.StreamQuery, senderIp: String) {
         val nowMs = clock.nowMs()
         val origin = find(StreamId(message.stream))
+        val ambiguous = ambiguousServices()
         val services = message.services.take(MAX_SERVICES).map { service ->
             val seen = versions.agesMs(service, nowMs).entries.sortedBy { it.value }
                 .take(MAX_VERSIONS).map { PeerMessage.SeenVersion(it.key.name, it.value) }
-            PeerMessage.ServiceVersions(service, seen, versions.isSettled(service, nowMs))
+            val isSettled = versions.isSettled(service, nowMs)
+            PeerMessage.ServiceVersions(service, seen, isSettled, service in ambiguous)
         }
         val reply = PeerMessage.StreamReply(
             message.query,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -57,7 +57,8 @@
         val served = versions.of(service, nowMs)
         val isSettled = versions.isSettled(service, nowMs) || found.any { it.isSettled }
         return when {
-            isAmbiguous(service) -> unknown("the route leads, or has led, to several services")
+            isAmbiguous(service) || found.any { it.isAmbiguous } ->
+                unknown("the route leads, or has led, to several services")
 
             served.size > 1 -> unknown("the service had ${served.size} versions")
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/peer/PeerNetwork.kt
@@ -5,6 +5,7 @@
 import org.bronzetide.coordination.TimerService
 import org.bronzetide.edge.entry.QuotaLimiterAdapter
 import org.bronzetide.edge.standin.EdgeTestEnvironment
+import org.bronzetide.edge.streams.RouteServices
 import org.bronzetide.edge.streams.StreamExchange
 import org.bronzetide.edge.streams.StreamResolver
 import org.bronzetide.edge.streams.StreamWindow
@@ -109,6 +110,7 @@
         var isHistoryRead = false
         private val createdAtMs = clock.nowMs()
         val window = StreamWindow(timers, versions)
+        val routes = RouteServices()
         val streams = StreamExchange(
             name,
             clock,
@@ -116,11 +118,19 @@
             versions,
             DecisionLog(clock, omitsRequests = true),
             { to, message -> deliver(this, SocketAddress(to, 7_600), message) },
-            random = Random(index)
+            { routes.ambiguous(clock.nowMs()) },
+            Random(index)
+        )
+        val origins = StreamResolver(
+            clock,
+            versions,
+            streams,
+            { routes.isAmbiguous(it, clock.nowMs()) },
+            {
+                clock.nowMs() - createdAtMs < STREAM_START_MS &&
+                    !(isHistoryRead && streams.hasPeers)
+            }
         )
-        val origins = StreamResolver(clock, versions, streams, { false }) {
-            clock.nowMs() - createdAtMs < STREAM_START_MS && !(isHistoryRead && streams.hasPeers)
-        }
         private val settings = EdgeTestEnvironment.settings(1, name).copy(
             ip = ip,
             peerPorts = 7_600..7_600,
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
@@ -4,6 +4,8 @@
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.edge.peer.PeerNetwork
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
+import org.bronzetide.platform.fleet.CallerLimits
+import org.bronzetide.platform.fleet.Manifest
 import org.bronzetide.scheduling.fleet.FleetTarget
 import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.streams.StreamId
@@ -59,11 +61,50 @@
         hosts.forEach { assertThat(it.versions.windowMs).isEqualTo(10_000) }
     }
 
+    /** Guards against a stream that is joined at a host which knows only the latest routes. */
+    @Example
+    fun hostThatStartedAfterARouteWasMovedDoesNotJoin() {
+        start("a" to listOf("1"), "b" to listOf("2"))
+        hosts.forEach { it.lead("a") }
+        hosts[0].begin("r1", "a", "1")
+        hosts.forEach { it.lead("b") }
+        network.run(1_000)
+        val knowing = hosts.filter { it.streams.find(StreamId.of("r1")) != null }
+        assertThat(knowing).hasSize(3)
+        hosts.removeAll(knowing)
+        val started = network.restart(hosts.last())
+        started.lead("b")
+        started.observe("a" to listOf("1"), "b" to listOf("2"))
+        // The store names all versions of both services.
+        started.versions.settle()
+        network.run(1_000)
+        hosts.forEach {
+            assertThat(it.find("r1", listOf("b"))).isInstanceOf(Continuation.Unknown::class.java)
+        }
+    }
+
+    /** Guards against needless refusals on sites where a query reaches few of the hosts. */
+    @Example
+    fun streamOfAWeightedRouteGoesOnAtAnyOfManyHosts() {
+        start("a" to listOf("1"), "b" to listOf("2"), hostCount = 24)
+        hosts.forEach { it.lead("a", "b") }
+        repeat(8) { hosts[0].begin("r$it", "a", "1") }
+        network.run(1_000)
+        hosts.removeAt(0)
+        repeat(8) { stream ->
+            hosts.forEach {
+                assertThat(it.find("r$stream", listOf("a", "b")))
+                    .isEqualTo(Continuation.At(StreamOrigin("a", SoftwareVersion("1"))))
+            }
+        }
+    }
+
     private fun start(
         vararg services: Pair<String, List<String>>,
-        longestMs: Long = PeerNetwork.STREAM_WINDOW_MS / 2
+        longestMs: Long = PeerNetwork.STREAM_WINDOW_MS / 2,
+        hostCount: Int = 8
     ) {
-        network.startHosts(8)
+        network.startHosts(hostCount)
         network.run(2_000)
         hosts.forEach {
             it.window.onTimeLimit(longestMs)
@@ -83,6 +124,14 @@
         streams.updateSharedServices()
     }
 
+    /** The only route now leads to [services]. */
+    private fun PeerNetwork.Host.lead(vararg services: String) {
+        val route = RouteServicesTest.route("/", *services)
+        val manifest = Manifest(1, listOf(route), emptyMap(), emptyList(), CallerLimits())
+        routes.update(manifest, versions.windowMs, network.clock.nowMs())
+        streams.updateSharedServices()
+    }
+
     private fun PeerNetwork.Host.begin(request: String, service: String, version: String) =
         streams.record(StreamId.of(request), StreamOrigin(service, SoftwareVersion(version)))
 
