Take-ups: versions that peers name count, whatever this host's window is

A caller's stream that its hosts had lost went on at another version if a shorter time limit had come into force and the request reached a host that started since.

Cause: such a host has only the shorter window. It dropped the versions in its peers' replies that were older than that, although streams which began under the longer limit may still be taken up.

Each version in a reply was within the window of the host that replied, so it counts for the decision on that request. The test failed before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -2,6 +2,7 @@
 
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
+import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.streams.ServedVersions
 import org.bronzetide.scheduling.streams.StreamId
 import org.bronzetide.scheduling.streams.StreamOrigin
@@ -54,7 +55,9 @@
             ?: return unknown("the stream may be of ${services.distinct().size} services")
         val found = answer.replies.flatMap { it.services }.filter { it.service == service }
         val nowMs = clock.nowMs()
-        val served = versions.of(service, nowMs)
+        // The windows of hosts differ for a time after a change of time limits.
+        val served = versions.of(service, nowMs) +
+            found.flatMap { it.versions }.map { SoftwareVersion(it.name) }
         val isSettled = versions.isSettled(service, nowMs) || found.any { it.isSettled }
         return when {
             isAmbiguous(service) || found.any { it.isAmbiguous } ->
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
@@ -83,6 +83,24 @@
         }
     }
 
+    /** Guards against a host that forgets sooner than others, as it knows only a short limit. */
+    @Example
+    fun hostThatStartedAfterTheWindowBecameShorterDoesNotJoin() {
+        start("a" to listOf("1"), longestMs = 60_000)
+        hosts[0].begin("r1", "a", "1")
+        hosts.forEach { it.observe("a" to listOf("1", "2")) }
+        network.run(1_000)
+        hosts.forEach { it.observe("a" to listOf("2")) }
+        hosts.removeIf { it.streams.find(StreamId.of("r1")) != null }
+        hosts.forEach { it.window.onTimeLimit(5_000) }
+        val started = network.restart(hosts.last())
+        started.window.onTimeLimit(5_000)
+        started.observe("a" to listOf("2"))
+        started.versions.settle()
+        network.run(15_000)
+        assertThat(started.find("r1", listOf("a"))).isInstanceOf(Continuation.Unknown::class.java)
+    }
+
     /** Guards against needless refusals on sites where a query reaches few of the hosts. */
     @Example
     fun streamOfAWeightedRouteGoesOnAtAnyOfManyHosts() {
