Versions in the store: not complete while a service's route has just been moved

Callers' streams were joined at another service's version if all hosts lost power within a window after their route was moved, as far as the streams were not in the store: those of services with one version are not written.

Cause: the objects of both services said that their one version was all there had been, which is true, but does not tell where a stream of the route began. A host that starts knows only the latest routes, so that nothing told it of the move.

The writer now marks the object of an ambiguous service as not complete. A host that reads it is not settled, and refuses what it does not know until it has observed the service for a window.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -140,6 +140,9 @@
             exchange.updateSharedServices()
         }
 
+        override fun isAmbiguous(service: String, nowMs: Long) =
+            routeServices.isAmbiguous(service, nowMs)
+
         override fun isSettled(service: String, nowMs: Long) = versions.isSettled(service, nowMs)
 
         override fun onSettled(service: String) = versions.settle(service)
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/VersionHistory.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/VersionHistory.kt
@@ -25,9 +25,10 @@
  *
  * Each host lists the objects once, at its start. Only one host writes the object of a service,
  * when a version appears or was last seen a window ago. The object says whether its writer knew all
- * versions of the window, and in which era of the store it was written. A reader does not trust an
- * object that is not complete, is of an earlier era, cannot be decoded, or is missing: the service
- * is then not settled until the reader itself has observed it for a window.
+ * versions of the window and no stream at the service's routes can be of another service, and in
+ * which era of the store it was written. A reader does not trust an object that is not complete, is
+ * of an earlier era, cannot be decoded, or is missing: the service is then not settled until the
+ * reader itself has observed it for a window.
  *
  * A version that appears while the store is unavailable, or within [STEP_MS] and a call before all
  * hosts lose power, is not recorded; nothing in the store tells a later reader of it.
@@ -60,6 +61,9 @@
         /** Records versions that another host has seen. */
         fun add(service: String, versions: Set<SoftwareVersion>, nowMs: Long)
 
+        /** Whether a stream of a route to [service] may have begun at another service. */
+        fun isAmbiguous(service: String, nowMs: Long): Boolean
+
         /** Whether this host has observed [service] for a window. */
         fun isSettled(service: String, nowMs: Long): Boolean
 
@@ -307,7 +311,10 @@
         val (stored, others) = names.partition { it in record.entry?.versions.orEmpty() }
         val chosen = (stored + others).take(ServiceVersionsEntry.MAX_VERSIONS)
         val usable = chosen.filter(ServiceVersionsEntry::canHold)
-        val isComplete = isSettled(service, nowMs) && usable.size == chosen.size
+        // A reader knows only the latest routes.
+        val isComplete = isSettled(service, nowMs) &&
+            usable.size == chosen.size &&
+            !versions.isAmbiguous(service, nowMs)
         return ServiceVersionsEntry(usable.toSet(), isComplete, record.era)
     }
 
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
@@ -29,6 +29,9 @@
     /** The versions of the targets that serve now, by service. */
     var serving: Map<String, Set<String>> = emptyMap()
 
+    /** The services of which a route leads, or has led, to other services as well. */
+    var ambiguous: Set<String> = emptySet()
+
     /** The position of this host among the writers. */
     var rank = 0
     val streams = HashMap<Long, StreamOrigin>()
@@ -79,6 +82,8 @@
 
     override fun onFirstStart() = Unit
 
+    override fun isAmbiguous(service: String, nowMs: Long) = service in ambiguous
+
     override fun isMixed(service: String, nowMs: Long) = of(service, nowMs).size > 1
 
     /** Lets the host run for [durationMs]. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/VersionHistoryTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/VersionHistoryTest.kt
@@ -51,6 +51,30 @@
         assertThat(entry()?.versions).containsExactly("new")
     }
 
+    /** Guards against streams that are joined after a loss of all hosts, as a route was moved. */
+    @Example
+    fun hostThatStartsAfterARouteWasMovedIsNotSettled() = test {
+        first {
+            serve(APP, "1")
+            serve(OTHER, "2")
+            run(2_000)
+            ambiguous = setOf(APP, OTHER)
+            run(VersionHistory.STEP_MS)
+        }
+        host {
+            serve(APP, "1")
+            serve(OTHER, "2")
+            assertThat(stepAndIsSettled()).isFalse()
+            assertThat(isSettled(OTHER)).isFalse()
+        }
+        host {
+            serve(APP, "1")
+            serve(OTHER, "2")
+            run(WINDOW_MS + 1_000)
+        }
+        host { assertThat(stepAndIsSettled()).isTrue() }
+    }
+
     /** Guards against a service that is named only after the store was read. */
     @Example
     fun versionsAreKnownAlsoIfTheManifestComesLater() = test {
