Streams in the store: also those of routes that lead to several services

After a loss of all hosts, callers of a weighted route whose services have one version each were refused for every stream, though the targets of each stream's version served and those of a service with two versions went on.

Cause: streams of ambiguous services were sent to keepers, but not written to the store; the versions alone do not tell at which of the services one began.

The new test of StreamSnapshotsTest failed before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -154,7 +154,8 @@
         override val names get() = routeServices.names
         override val windowMs get() = versions.windowMs
 
-        override fun isMixed(service: String, nowMs: Long) = versions.isMixed(service, nowMs)
+        override fun isShared(service: String, nowMs: Long) =
+            versions.isMixed(service, nowMs) || routeServices.isAmbiguous(service, nowMs)
     }
 
     private companion object {
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
@@ -21,11 +21,12 @@
 import org.bronzetide.scheduling.streams.StreamOrigin
 
 /**
- * The streams of mixed services that each host has begun, kept in the store for hosts that start
- * after all others have lost power.
+ * The streams of shared services that each host has begun, kept in the store for hosts that start
+ * after all others have lost power. A service is shared if it has several versions, or its routes
+ * have several services.
  *
- * A host writes its own object while one of its streams belongs to a mixed service, if there are
- * new ones, and empties it when no service is mixed any more. Streams that began after the last
+ * A host writes its own object while one of its streams belongs to a shared service, if there are
+ * new ones, and empties it when no service is shared any more. Streams that began after the last
  * write of a host are lost with it, as it is not told of its end: up to
  * [SnapshotBudget.intervalMs] and the time of a call. Streams that do not fit, the oldest first,
  * are lost as well.
@@ -57,8 +58,11 @@
         /** How long a stream and the requests that take it up may last, in milliseconds. */
         val windowMs: Long
 
-        /** Whether [service] had targets of several versions within the window. */
-        fun isMixed(service: String, nowMs: Long): Boolean
+        /**
+         * Whether [service] or its routes do not tell where a stream began: it had targets of
+         * several versions, or its routes led to other services as well, within the window.
+         */
+        fun isShared(service: String, nowMs: Long): Boolean
     }
 
     private class Own(val origin: StreamOrigin, val untilMs: Long)
@@ -152,7 +156,7 @@
 
     private fun isReadNeeded(): Boolean {
         val nowMs = clock.nowMs()
-        return services.names.any { services.isMixed(it, nowMs) || !history.isSettled(it, nowMs) }
+        return services.names.any { services.isShared(it, nowMs) || !history.isSettled(it, nowMs) }
     }
 
     private fun onListing(objects: List<StoredObject>, listedEra: StoreEra?) {
@@ -256,15 +260,15 @@
     }
 
     /**
-     * The newest own streams of mixed services that fit, the oldest of them first. Those that are
-     * stored already stay until their service is known not to be mixed.
+     * The newest own streams of shared services that fit, the oldest of them first. Those that are
+     * stored already stay until their service is known not to be shared.
      */
     private fun streamsToStore(nowMs: Long): Map<Long, StreamOrigin> {
-        val mixed = services.names.filterTo(HashSet()) { services.isMixed(it, nowMs) }
-        if (mixed.isEmpty() && written.isEmpty()) return emptyMap()
+        val shared = services.names.filterTo(HashSet()) { services.isShared(it, nowMs) }
+        if (shared.isEmpty() && written.isEmpty()) return emptyMap()
         val streams = own.entries.filter { (id, stream) ->
             val service = stream.origin.service
-            service in mixed || (id in written && !history.isSettled(service, nowMs))
+            service in shared || (id in written && !history.isSettled(service, nowMs))
         }
         val origins = streams.mapTo(HashSet()) { it.value.origin }
         val headBytes = origins.sumOf { budget.headBytes(it) }
@@ -346,7 +350,7 @@
         /** How often to look for new streams to be written, in milliseconds. */
         private const val WRITE_STEP_MS = 250L
 
-        /** Bounds the memory of streams at hosts without mixed services. */
+        /** Bounds the memory of streams at hosts without shared services. */
         const val MAX_STREAMS = 20_000
 
         /** A read and the write after it. */
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamSnapshotsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamSnapshotsTest.kt
@@ -40,6 +40,31 @@
         }
     }
 
+    /** Guards against streams of weighted routes that cannot go on after a loss of all hosts. */
+    @Example
+    fun streamsOfAmbiguousServicesAreKnownAfterAllWereKilled() = test {
+        host("h1") {
+            ambiguous = setOf(APP, OTHER)
+            serve(APP, "1")
+            serve(OTHER, "2")
+            begin(1L..3L, APP, "1")
+            begin(4L..5L, OTHER, "2")
+            run(1_500)
+        }
+        host("h2") {
+            ambiguous = setOf(APP, OTHER)
+            serve(APP, "1")
+            serve(OTHER, "2")
+            step()
+            assertThat(streams).hasSize(5)
+                .containsEntry(3, StreamOrigin(APP, SoftwareVersion("1")))
+                .containsEntry(4, StreamOrigin(OTHER, SoftwareVersion("2")))
+            ambiguous = emptySet()
+            run(3 * WINDOW_MS)
+            assertThat(ids("h2").orEmpty()).isEmpty()
+        }
+    }
+
     /** Guards against streams that are not read because no service is known yet. */
     @Example
     fun streamsAreReadWhenTheManifestIsKnownAfterTheVersions() = test {
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
@@ -84,7 +84,8 @@
 
     override fun isAmbiguous(service: String, nowMs: Long) = service in ambiguous
 
-    override fun isMixed(service: String, nowMs: Long) = of(service, nowMs).size > 1
+    override fun isShared(service: String, nowMs: Long) =
+        of(service, nowMs).size > 1 || service in ambiguous
 
     /** Lets the host run for [durationMs]. */
     suspend fun run(durationMs: Long) = repeat((durationMs / VersionHistory.STEP_MS).toInt()) {
