Take-ups: streams of requests with a blank id are not taken for one another

A caller whose request and take-up had blank ids was answered 200 with events of the stream that another such request had begun last, at either version.

Cause: a blank `Request-Id` was a name like any other, so that all streams without one had the same stream id; a blank `Resumes` named them.

Its requests now have ids of their own.

--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/StreamTakeUpTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/StreamTakeUpTest.kt
@@ -10,6 +10,7 @@
 import org.bronzetide.edge.standin.EdgeTestEnvironment
 import org.bronzetide.http.Header
 import org.bronzetide.http.HttpConnection
+import org.bronzetide.http.OutgoingRequest
 
 /**
  * Targets of two versions serve side by side, each run sends two events and breaks off, and callers
@@ -23,6 +24,8 @@
     /** The version of each target's runs, by the id of the request. */
     private val runs = ConcurrentHashMap<String, String>()
 
+    private var requestCount = 0
+
     @AfterTry
     fun close() = environment.close()
 
@@ -52,6 +55,17 @@
         assertThat(receive().status).isEqualTo(200)
     }
 
+    @Example
+    fun streamsOfRequestsWithoutAnIdAreNotTakenForOneAnother() {
+        start("v1", "v2")
+        repeat(4) { assertThat(receive(id = "").status).isEqualTo(200) }
+        val served = runs.size
+        listOf("", " ").forEach {
+            assertThat(receive(lastEventId = 2, resumes = it).status).isEqualTo(503)
+        }
+        assertThat(runs).hasSize(served)
+    }
+
     @Example
     fun unknownStreamGoesOnWhileOneVersionServes() {
         start("v1", "v1")
@@ -95,14 +109,20 @@
         val body: String
     )
 
-    private fun receive(lastEventId: Int? = null, resumes: String? = null): Received = runBlocking {
+    private fun receive(
+        lastEventId: Int? = null,
+        resumes: String? = null,
+        id: String = "r${++requestCount}"
+    ): Received = runBlocking {
         val headers = listOfNotNull(
             Header("X-Api-Key", "key-1"),
             lastEventId?.let { Header("Last-Event-Id", it.toString()) },
             resumes?.let { Header("Resumes", it) }
         )
-        val request = environment.request("/stream/", headers)
-        val id = request.headers.first { it.name == "Request-Id" }.value
+        val request = environment.request("/stream/", headers).run {
+            val others = this.headers.filter { it.name != "Request-Id" }
+            OutgoingRequest(method, requestTarget, others + Header("Request-Id", id), body)
+        }
         withTimeout(10_000) {
             environment.connect().use { connection ->
                 connection.send(request)
