--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsOfChangedRoutesTest.kt
@@ -1,7 +1,9 @@
 package org.bronzetide.edge.streams
 
+import kotlinx.serialization.encodeToByteArray
 import net.jqwik.api.Example
 import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.peer.PeerMessage
 import org.bronzetide.edge.peer.PeerNetwork
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
 import org.bronzetide.platform.fleet.CallerLimits
@@ -117,6 +119,42 @@
         }
     }
 
+    /** Guards against messages of weighted routes and take-ups beyond 8 KB/s a node. */
+    @Example
+    fun weightedRoutesOf72HostsStayWithinTheBudget() {
+        start("a" to listOf("1"), "b" to listOf("2"), hostCount = 72)
+        hosts.forEach { it.lead("a", "b") }
+        network.run(1_000)
+        var bytes = 0L
+        var streamBytes = 0L
+        hosts.forEach { host ->
+            host.onSent = {
+                val size = PeerMessage.codec.encodeToByteArray(it).size
+                bytes += size
+                if (it is PeerMessage.StreamPush) streamBytes += size
+            }
+        }
+        val seconds = 3
+        repeat(seconds * 1_000 / 30) { tick ->
+            hosts.forEach { it.begin("r$tick-${it.name}", "a", "1") }
+            network.run(30)
+        }
+        val perNode = bytes / hosts.size / seconds
+        println("72 hosts: ${streamBytes / hosts.size / seconds} B/s a node, $perNode B/s in all")
+        assertThat(perNode).isLessThan(8_000)
+        bytes = 0
+        val takeUps = 720
+        repeat(takeUps / 72) { round ->
+            hosts.forEachIndexed { index, host ->
+                val id = StreamId.of("r${round * 3}-${hosts[(index + 7) % 72].name}")
+                host.origins.resolve(id, listOf("a", "b")) { }
+            }
+            network.run(PeerNetwork.STEP_MS)
+        }
+        println("$takeUps take-ups: ${bytes / takeUps} B each")
+        assertThat(bytes / takeUps).isLessThan(1_000)
+    }
+
     private fun start(
         vararg services: Pair<String, List<String>>,
         longestMs: Long = PeerNetwork.STREAM_WINDOW_MS / 2,
