Take-ups: a host that still reads the streams in the store asks callers to come back

A caller whose take-up reached a host that had just started was refused without `Retry-After`, as one that can never go on, while the store that names its stream was slow to answer. One whose stream began at a service to which its route does not lead any more waited 0.5 s for the same refusal.

Cause: whether the host may know more soon was decided by the versions alone, which are read before the streams, and the wait did not depend on it.

Both now depend on whether the streams have been read, and a decision that is final is not waited for. StreamControlTest failed before.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -77,7 +77,7 @@
         versions,
         exchange,
         { routeServices.isAmbiguous(it, clock.nowMs()) },
-        { isStarting && !(history.isRead && (exchange.hasPeers || !hasOtherSeeds)) }
+        { isStarting && !(snapshots.isRead && (exchange.hasPeers || !hasOtherSeeds)) }
     )
     private val fleet = FleetStreamOrigins(control, exchange, resolver)
 
@@ -124,7 +124,9 @@
         services: List<String>
     ): StreamOrigins.Continuation {
         val found = fleet.find(firstRequestId, services)
-        if (found is StreamOrigins.Continuation.At || !isStarting || snapshots.isRead) return found
+        val mayBeInStore =
+            found is StreamOrigins.Continuation.Unknown && found.retryAfterMs != null
+        if (!mayBeInStore || !isStarting || snapshots.isRead) return found
         snapshots.awaitRead(START_READ_LIMIT_MS)
         return fleet.find(firstRequestId, services)
     }
