--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -77,7 +77,7 @@
         versions,
         exchange,
         { routeServices.isAmbiguous(it, clock.nowMs()) },
-        { isStarting && !(history.isRead && (exchange.hasPeers || !hasOtherSeeds)) }
+        { isStarting && !(snapshots.isRead && (exchange.hasPeers || !hasOtherSeeds)) }
     )
     private val fleet = FleetStreamOrigins(control, exchange, resolver)
 
@@ -124,7 +124,9 @@
         services: List<String>
     ): StreamOrigins.Continuation {
         val found = fleet.find(firstRequestId, services)
-        if (found is StreamOrigins.Continuation.At || !isStarting || snapshots.isRead) return found
+        val mayBeInStore =
+            found is StreamOrigins.Continuation.Unknown && found.retryAfterMs != null
+        if (!mayBeInStore || !isStarting || snapshots.isRead) return found
         snapshots.awaitRead(START_READ_LIMIT_MS)
         return fleet.find(firstRequestId, services)
     }
@@ -140,6 +142,9 @@
             exchange.updateSharedServices()
         }
 
+        override fun isAmbiguous(service: String, nowMs: Long) =
+            routeServices.isAmbiguous(service, nowMs)
+
         override fun isSettled(service: String, nowMs: Long) = versions.isSettled(service, nowMs)
 
         override fun onSettled(service: String) = versions.settle(service)
@@ -151,7 +156,8 @@
         override val names get() = routeServices.names
         override val windowMs get() = versions.windowMs
 
-        override fun isMixed(service: String, nowMs: Long) = versions.isMixed(service, nowMs)
+        override fun isShared(service: String, nowMs: Long) =
+            versions.isMixed(service, nowMs) || routeServices.isAmbiguous(service, nowMs)
     }
 
     private companion object {
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamStoreHost.kt
@@ -29,6 +29,9 @@
     /** The versions of the targets that serve now, by service. */
     var serving: Map<String, Set<String>> = emptyMap()
 
+    /** The services of which a route leads, or has led, to other services as well. */
+    var ambiguous: Set<String> = emptySet()
+
     /** The position of this host among the writers. */
     var rank = 0
     val streams = HashMap<Long, StreamOrigin>()
@@ -79,7 +82,10 @@
 
     override fun onFirstStart() = Unit
 
-    override fun isMixed(service: String, nowMs: Long) = of(service, nowMs).size > 1
+    override fun isAmbiguous(service: String, nowMs: Long) = service in ambiguous
+
+    override fun isShared(service: String, nowMs: Long) =
+        of(service, nowMs).size > 1 || service in ambiguous
 
     /** Lets the host run for [durationMs]. */
     suspend fun run(durationMs: Long) = repeat((durationMs / VersionHistory.STEP_MS).toInt()) {
