Rehearsal of a start: an address that stays in use does not hold up the build

The build command rehearses a start on random ports. Since a node waits for an address in use, a port of the rehearsal that another program holds kept the build from ever ending, so that no process started at all.

The rehearsal now waits for its addresses for 4 s and then ends as it does on other failures. The wait of a node that starts is unchanged.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/StartRehearsal.kt
@@ -48,7 +48,9 @@
             createNode(text)
         }
         try {
-            nodes.forEach { it.start() }
+            // A node would wait for as long as an address is in use.
+            withTimeoutOrNull(START_TIMEOUT_MS) { nodes.forEach { it.start() } }
+                ?: throw IOException("addresses not bound within $START_TIMEOUT_MS ms")
             withTimeoutOrNull(READY_TIMEOUT_MS) {
                 while (nodes.any { !it.isReady }) delay(POLL_MS)
             }
@@ -93,6 +95,7 @@
         const val LOOPBACK = "127.0.0.1"
         const val OTHER_LOOPBACK = "127.0.0.2"
         const val OK = 200
+        const val START_TIMEOUT_MS = 4_000L
         const val READY_TIMEOUT_MS = 4_000L
         const val POLL_MS = 20L
         const val REQUESTS = 10
