Settings: a look at the file that blocks does not stop the decisions of a host

The control thread looked at the settings file each second. On a file system that hangs, or with a pipe in the file's place, that call does not return: callers got no answer, since each request is decided on that thread, and SIGTERM did not end a process that waited for an address, as drain() calls the control thread.

A thread of its own now looks at the file, and SIGHUP reads it on the signal's thread again. The control thread gets the valid settings only.

On the code before, nodeServesAndStopsWhileTheReadingOfItsSettingsBlocks failed: no response within 10 s.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -146,6 +146,11 @@
 
     /** Where the settings come from, if the node is to notice changes; set before [start]. */
     internal var settingsFile: SettingsFile? = null
+        set(value) {
+            field = value
+            settingsWatch = value?.let { SettingsWatch(it, log, ::reload) }
+        }
+    private var settingsWatch: SettingsWatch? = null
 
     private val firstManifest = CompletableDeferred<Unit>()
     private var warmUp: Job? = null
@@ -254,9 +259,9 @@
                 pool.evictStale()
                 storePool.evictStale()
                 status = statusPage()
-                settingsFile?.readIfChanged()?.let(::apply)
             }
         }
+        settingsWatch?.start()
         registerGauges()
         store.onEraChange = ::onStoreEraChange
         scope.launch { watchStore(ObjectKinds.MANIFESTS, manifestCache) }
@@ -364,17 +369,11 @@
         )
     }
 
-    /** Reads [settingsFile] again, whether it has changed or not. */
-    internal fun rereadSettings() = control.post { settingsFile?.read()?.let(::apply) }
-
-    private fun apply(reading: SettingsFile.Reading) = when (reading) {
-        is SettingsFile.Reading.Valid -> reload(reading.settings)
-
-        is SettingsFile.Reading.Invalid ->
-            log.failure("settings not usable", null, "errors" to reading.errors)
-    }
+    /** Reads [settingsFile] again, whether it has changed or not. Blocks the thread. */
+    internal fun rereadSettings() = settingsWatch?.reread()
 
     override fun close() {
+        settingsWatch?.close()
         callerAcceptor.close()
         readinessAcceptor.close()
         peers.close()
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/SettingsFile.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/SettingsFile.kt
@@ -6,7 +6,7 @@
 import org.bronzetide.platform.fleet.SettingsException
 
 /**
- * The settings file at [path]. Another program may be writing it while it is read. Not thread-safe.
+ * The settings file at [path]. Another program may be writing it while it is read. Thread-safe.
  */
 internal class SettingsFile(path: String?) {
     /** What the file was found to contain. */
@@ -24,6 +24,7 @@
     private var lengthBytes = 0L
 
     /** Reads the file. */
+    @Synchronized
     fun read(): Reading {
         // Before the text, so that the next look finds a change during the reading.
         modifiedAtMs = file?.lastModified() ?: 0
@@ -32,6 +33,7 @@
     }
 
     /** Reads the file if it seems to have changed; returns `null` if its content has not. */
+    @Synchronized
     fun readIfChanged(): Reading? {
         val before = last
         val isUnchanged = before is Reading.Valid &&
@@ -44,6 +46,7 @@
      * Reads the file until it is valid and seems complete, for at most [WRITE_TIMEOUT_MS]. Blocks
      * the thread.
      */
+    @Synchronized
     fun awaitValid(): Reading {
         val untilNs = System.nanoTime() + WRITE_TIMEOUT_MS * NS_PER_MS
         while (true) {
