Node: a start that fails does not end with the status of a planned stop

A node whose port for callers was in use ended with status 0 after 11 s: the exception left main, and the shutdown hook drained a node that had never served and stated that the drain was complete. A supervisor that starts processes again after failures takes that for a planned stop.

The failure is now reported with the port, and the process ends at once with status 1, without the hook. The port is still tried once only.

--- a/bronzetide-node/src/main/kotlin/org/bronzetide/node/Bronzetided.kt
+++ b/bronzetide-node/src/main/kotlin/org/bronzetide/node/Bronzetided.kt
@@ -8,6 +8,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.runBlocking
 
@@ -19,8 +20,8 @@
     private val isCheckOnly by option("--check", help = "check the settings and end").flag()
 
     override fun help(context: Context): String =
-        "Runs a node. Exit codes: 0 stopped as planned, 1 requests or ledger lines were lost, " +
-            "2 bad settings."
+        "Runs a node. Exit codes: 0 stopped as planned, 1 not started, or requests or ledger " +
+            "lines were lost, 2 bad settings."
 
     override fun run() {
         when (val result = Settings.load(settingsFile)) {
@@ -49,7 +50,13 @@
             Runtime.getRuntime().halt(exitCode)
         }
         Runtime.getRuntime().addShutdownHook(shutdownHook)
-        node.start()
+        try {
+            node.start()
+        } catch (cause: IOException) {
+            echo("start: port ${settings.port}: ${cause.message}", err = true)
+            // The hook would drain a node that has never served, and state a planned stop.
+            Runtime.getRuntime().halt(EXIT_INCOMPLETE)
+        }
         stopped.await()
     }
 
