--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -37,11 +37,15 @@
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
 
-    /** One port of the store. While it is busy, each call gets 503 and waiting watches are cut. */
+    /**
+     * One port of the store. While it is busy, each call gets 503 and waiting watches are cut. While
+     * it is cut off, nothing is answered; the channels that were open meanwhile are closed afterwards.
+     */
     final class Entrance {
         final ServerSocket server;
         private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
         private volatile boolean isBusy;
+        private volatile boolean isCutOff;
 
         Entrance() throws IOException {
             server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
@@ -57,6 +61,11 @@
             if (busy) sockets.forEach(Rig::closeQuietly);
         }
 
+        void setCutOff(boolean cutOff) {
+            isCutOff = cutOff;
+            if (!cutOff) sockets.forEach(Rig::closeQuietly);
+        }
+
         private void acceptAll() {
             while (true) {
                 try {
@@ -78,11 +87,15 @@
                     Http.Head head = Http.readHead(in);
                     if (head == null) return;
                     String body = new String(Http.readBody(in, head), StandardCharsets.UTF_8);
+                    java.io.ByteArrayOutputStream answer = new java.io.ByteArrayOutputStream();
                     if (isBusy) {
-                        Http.respond(out, 503, "", "");
-                    } else {
-                        handle(head, body, out);
+                        Http.respond(answer, 503, "", "");
+                    } else if (!isCutOff) {
+                        handle(head, body, answer);
                     }
+                    while (isCutOff) Thread.sleep(20);
+                    out.write(answer.toByteArray());
+                    out.flush();
                 }
             } catch (IOException | InterruptedException gone) {
                 // The caller has closed the connection, or the store has.
