--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -28,6 +28,15 @@
     /** The share of answers whose head has no end: its last line is repeated until the caller closes. */
     volatile double endlessHeadShare;
 
+    /** The share of streams that are broken off by a reset after their head. */
+    volatile double brokenStreamShare;
+
+    /** Until when this replica is silent: it sends nothing, and goes on afterwards. */
+    volatile long silentUntilMs;
+
+    /** The requests that reached this replica. */
+    final Set<String> reached = ConcurrentHashMap.newKeySet();
+
     /** How many answers had no end. */
     final AtomicInteger endlessHeads = new AtomicInteger();
 
@@ -168,6 +177,10 @@
             }
         }
 
+        private void awaitEndOfSilence() throws InterruptedException {
+            while (System.currentTimeMillis() < silentUntilMs) Thread.sleep(10);
+        }
+
         /** Answers with a small body, or in trouble with a head that has no end. */
         private void answer(OutputStream out, String own) throws IOException, InterruptedException {
             Thread.sleep(10);
@@ -192,10 +205,19 @@
             int first = last == null ? 1 : Integer.parseInt(last) + 1;
             long untilMs = System.currentTimeMillis() + Long.parseLong(head.get("Deadline-Ms"));
             rig.record("replica %s (%s) runs %s from event %d", id, version, head.get("Request-Id"), first);
+            reached.add(head.get("Request-Id"));
             Thread.sleep(20);
+            awaitEndOfSilence();
+            boolean isToBreak = Math.random() < brokenStreamShare;
             Http.write(out, "HTTP/1.1 200 OK\r\n" + own + "Response-Signature: " + id + "." + version + "\r\n"
                 + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (isToBreak) {
+                Thread.sleep(30);
+                rig.record("replica %s breaks %s off after its head", id, head.get("Request-Id"));
+                throw new IOException("broken off");
+            }
             for (int event = first; event <= count; event++) {
+                awaitEndOfSilence();
                 if (System.currentTimeMillis() > untilMs) throw new IOException("time has passed");
                 String text = "id: " + event + "\ndata: " + version + " " + id + "\n\n";
                 Http.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
