--- a/review/standins-2/DatagramRelay.java
+++ b/review/standins-2/DatagramRelay.java
@@ -3,12 +3,16 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Passes the datagrams between one process and all others, until it is cut. The process has an
  * inner port of its own, so that each side meets the relay at the other side's address.
  */
 final class DatagramRelay {
+    /** The sockets that send to the single process, by the address of the other one. */
+    private final Map<String, DatagramSocket> senders = new ConcurrentHashMap<>();
     private volatile boolean isCut;
 
     /** Relays between [single], whose inner port is [singlePort], and the other processes. */
@@ -27,8 +31,6 @@
         Rig.daemon(() -> passToSingle(fromOthers, toSingle));
     }
 
-    private final java.util.Map<String, DatagramSocket> senders = new java.util.concurrent.ConcurrentHashMap<>();
-
     void setCut(boolean cut) {
         isCut = cut;
     }
