--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreView.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/state/StoreView.kt
@@ -1,10 +1,5 @@
 package org.bronzetide.edge.state
 
-import java.util.concurrent.atomic.AtomicLong
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withTimeoutOrNull
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.platform.fleet.Changes
 import org.bronzetide.platform.fleet.FleetStore
@@ -23,7 +18,7 @@
  */
 internal class StoreView(
     private val store: FleetStore,
-    private val clock: MonotonicClock,
+    clock: MonotonicClock,
     private val time: ElapsedTime,
     private val observer: StoreWatcher.Observer
 ) : StoreWatcher.Observer by observer {
@@ -37,13 +32,7 @@
     var readAt: ElapsedTime.Moment? = null
         private set
 
-    private val calls = Mutex()
-    private val requestCount = AtomicLong()
-
-    /** The last of the requests that the latest call was for, what it brought, and its start. */
-    private var lastServed = 0L
-    private var lastResult: List<TargetEntry>? = null
-    private var lastCallAtMs: Long? = null
+    private val reads = SharedCall(clock, MIN_INTERVAL_MS, LIMIT_MS, ::read)
 
     override suspend fun onListing(listing: Listing) {
         observer.onListing(listing)
@@ -64,19 +53,7 @@
      * Returns the entries that were written since the state that [observer] has, as read from the
      * store after this call began; `null` if the store cannot be read at present.
      */
-    suspend fun readChanges(): List<TargetEntry>? {
-        val request = requestCount.incrementAndGet()
-        return calls.withLock {
-            if (lastServed < request) {
-                lastCallAtMs?.let { delay(it + MIN_INTERVAL_MS - clock.nowMs()) }
-                lastCallAtMs = clock.nowMs()
-                lastServed = requestCount.get()
-                lastResult = null
-                lastResult = withTimeoutOrNull(LIMIT_MS) { read() }
-            }
-            lastResult
-        }
-    }
+    suspend fun readChanges(): List<TargetEntry>? = reads.await()
 
     private suspend fun read(): List<TargetEntry>? {
         val since = position ?: return null
