Streams of lost hosts are searched for in the store

What callers saw: most hosts were killed at once while targets of two versions served. Of the streams that were taken up at the host that was left, a fourth to a third went on; the others were refused for good, though targets of their version served and all new streams began.

Cause: the origin of a stream is told to two other hosts, and written to the store, but a host read the store once only, at its start. A stream whose hosts are lost was refused without a look there.

A stream that no host knows is now searched for in the store before it is refused, if a host that was asked did not reply, or a process was lost or replaced within the window. An origin never changes, so that a stream that is found needs no other evidence. As long as a host does not reply, or the store cannot be read, a refusal says Retry-After.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/FleetStreamOrigins.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/FleetStreamOrigins.kt
@@ -30,11 +30,12 @@
         control.call { resolver.resolve(id, services) { result.complete(it) } }
         // A failure on the control thread may leave a query without its end.
         return withTimeoutOrNull(LIMIT_MS) { result.await() }
-            ?: StreamOrigins.Continuation.Unknown("the query for the stream failed")
+            ?: StreamOrigins.Continuation.Unknown("the query for the stream failed", RETRY_AFTER_MS)
     }
 
     private companion object {
-        /** Much longer than a query takes. */
-        const val LIMIT_MS = 1_000L
+        /** Longer than a query of the hosts and two reads of a slow store take. */
+        const val LIMIT_MS = 2_000L
+        const val RETRY_AFTER_MS = 500L
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamControl.kt
@@ -7,6 +7,7 @@
 import org.bronzetide.edge.peer.LiveHosts
 import org.bronzetide.edge.peer.PeerMessage
 import org.bronzetide.edge.state.software
+import org.bronzetide.edge.streams.StoredOrigins.Found
 import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.edge.telemetry.EdgeMetrics
 import org.bronzetide.platform.fleet.FleetStore
@@ -75,15 +76,18 @@
         log,
         metrics
     )
+    private val storedOrigins = StoredOrigins(store, clock, log, metrics)
     private val hasOtherSeeds = settings.seeds.any { it.host != settings.ip }
     private val resolver = StreamResolver(
         clock,
         versions,
         exchange,
+        log,
         { routeServices.isAmbiguous(it, clock.nowMs()) },
         { isStarting && !(snapshots.isRead && (exchange.hasPeers || !hasOtherSeeds)) },
         hasOtherSeeds,
-        ::confirmVersions
+        ::confirmVersions,
+        ::findInStore
     )
     private val fleet = FleetStreamOrigins(control, exchange, resolver)
 
@@ -97,7 +101,10 @@
     /** Starts to read and write the store. */
     fun start(scope: CoroutineScope) {
         startedAtMs = clock.nowMs()
-        control.post { this.scope = scope }
+        control.post {
+            this.scope = scope
+            control.timers.every(EXPIRY_INTERVAL_MS, storedOrigins::expire)
+        }
         scope.launch { history.run() }
         scope.launch { snapshots.run() }
     }
@@ -154,6 +161,19 @@
         }
     }
 
+    private fun findInStore(id: StreamId, sinceMs: Long, onResult: (Found) -> Unit) {
+        val scope = scope
+        // The first read is awaited in [find].
+        if (scope == null || (isStarting && !snapshots.isRead)) return onResult(Found.Unavailable)
+        scope.launch {
+            val found = storedOrigins.find(id, sinceMs)
+            control.post {
+                if (found is Found.At) exchange.addFromStore(id, found.origin)
+                onResult(found)
+            }
+        }
+    }
+
     private inner class Observed : VersionHistory.ObservedVersions {
         override val services get() = routeServices.names
         override val windowMs get() = versions.windowMs
@@ -189,5 +209,6 @@
 
         /** Two calls to the store, which takes a few milliseconds for each unless it is slow. */
         const val START_READ_LIMIT_MS = 500L
+        const val EXPIRY_INTERVAL_MS = 10_000L
     }
 }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamExchange.kt
@@ -48,6 +48,7 @@
     private val informed = HashMap<Int, Set<StreamKeepers.KeeperHost>>()
 
     private val sender = StreamSender(clock, timers, ::find, ::untilMs, ::sendTo)
+    private val createdAtMs = clock.nowMs()
     private var mixedServices: Set<String> = emptySet()
 
     /** The services whose streams are sent to keepers: [mixedServices] and ambiguous ones. */
@@ -62,6 +63,14 @@
     /** The number of other hosts that have died or left and may still serve, out of reach. */
     val lostPeerCount: Int get() = keepers.lostCount
 
+    /**
+     * When a process that knew of streams was last lost, in milliseconds on the clock: one of
+     * another host, or the one before this one. `null` once those streams cannot be taken up.
+     */
+    val lastLossAtMs: Long?
+        get() = (keepers.lastLossAtMs ?: createdAtMs)
+            .takeIf { clock.nowMs() - it < versions.windowMs }
+
     /** Starts the periodic work. */
     fun start() {
         timers.every(CHECK_INTERVAL_MS) { check() }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamKeepers.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamKeepers.kt
@@ -26,6 +26,10 @@
     /** The number of other hosts that were live within [LOST_MS] and are dead. */
     val lostCount: Int get() = lostAtMs.size
 
+    /** When a process of another host was last found to be dead or replaced. */
+    var lastLossAtMs: Long? = null
+        private set
+
     /** Whether other hosts are known that are not dead. */
     val hasHosts: Boolean get() = hosts.isNotEmpty()
 
@@ -50,6 +54,8 @@
         known = members.mapTo(HashSet()) { it.id }
         hosts = updated
         (before.keys - updated.keys).forEach { lostAtMs[it] = nowMs }
+        val isLoss = before.any { (name, host) -> updated[name]?.generation != host.generation }
+        if (isLoss) lastLossAtMs = nowMs
         lostAtMs.keys.removeAll(updated.keys)
         if (updated.keys != before.keys) ranked.clear()
     }
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamQueries.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamQueries.kt
@@ -63,7 +63,10 @@
         val origin: StreamOrigin?,
         val replies: List<PeerMessage.StreamReply>,
         val askedCount: Int
-    )
+    ) {
+        /** Whether a host was asked and did not reply. */
+        val isIncomplete: Boolean get() = replies.size < askedCount
+    }
 
     private class Query(
         val message: PeerMessage.StreamQuery,
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -1,7 +1,9 @@
 package org.bronzetide.edge.streams
 
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.streams.StoredOrigins.Found
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
+import org.bronzetide.edge.telemetry.DecisionLog
 import org.bronzetide.scheduling.fleet.SoftwareVersion
 import org.bronzetide.scheduling.streams.ServedVersions
 import org.bronzetide.scheduling.streams.StreamId
@@ -9,10 +11,10 @@
 
 /**
  * Decides at which version a stream may go on. The first that knows decides: this host, the hosts
- * that keep the stream, or the versions of the service if it had only one for as long as a stream
- * may last.
+ * that keep the stream, the versions of the service if it had only one for as long as a stream may
+ * last, or what the hosts that were lost or do not reply have written to the store.
  *
- * The last rule needs that this host or one that has replied knows all versions within the window.
+ * The rule on a single version needs that this host or one that has replied knows all versions within the window.
  * It holds for requests that lead to exactly one service, as the service of the stream is unknown
  * otherwise. This host's own view of the targets may be outdated: it may be cut off from the store
  * or have stood still, and a version may have joined a moment ago. So the rule also needs evidence
@@ -29,6 +31,7 @@
     private val clock: MonotonicClock,
     private val versions: ServedVersions,
     private val exchange: StreamExchange,
+    private val log: DecisionLog,
     /** Whether a stream of a route to a service may have begun at another one. */
     private val isAmbiguous: (service: String) -> Boolean,
     /** Whether this host has just started, and has yet to read the store or to find its peers. */
@@ -39,34 +42,93 @@
      * Adds the versions that the store has at present, and passes on whether it could be read. The
      * result is passed on the control thread, once.
      */
-    private val confirmVersions: (onResult: (Boolean) -> Unit) -> Unit
+    private val confirmVersions: (onResult: (Boolean) -> Unit) -> Unit,
+    /**
+     * Searches for a stream in the store, see [StoredOrigins.find]. The result is passed on the
+     * control thread, once.
+     */
+    private val findInStore: (id: StreamId, sinceMs: Long, onResult: (Found) -> Unit) -> Unit
 ) {
     /** Passes the place where [id] may go on among [services] to [onResult], once. */
     fun resolve(id: StreamId?, services: List<String>, onResult: (Continuation) -> Unit) {
         val known = id?.let(exchange::find)
         if (known != null) return onResult(at(known, services))
+        val askedAtMs = clock.nowMs()
         // A stream without a name is at no keeper; any hosts can tell the versions.
         val asked = id ?: StreamId.of(services.joinToString())
         exchange.ask(asked, services) { answer ->
             val origin = answer.origin.takeIf { id != null }
             if (origin != null) return@ask onResult(at(origin, services))
-            val found = bySingleVersion(services, answer)
-            if (found !is Continuation.At) return@ask onResult(found)
-            confirmVersions { isConfirmed ->
-                onResult(
-                    if (isConfirmed || haveMostReplied(found.origin.service, answer)) {
-                        bySingleVersion(services, answer)
-                    } else {
-                        Continuation.Unknown(
-                            "neither the store nor most hosts tell the versions at present",
-                            RETRY_AFTER_MS
-                        )
-                    }
-                )
+            val search = Search(id, services, answer, askedAtMs, onResult)
+            when (val found = bySingleVersion(services, answer)) {
+                is Continuation.At -> confirm(found, search)
+                is Continuation.Unknown -> searchStore(found, search)
+            }
+        }
+    }
+
+    /** A take-up of a stream of which no host that replied knows the origin. */
+    private class Search(
+        val id: StreamId?,
+        val services: List<String>,
+        val answer: StreamQueries.Answer,
+        val askedAtMs: Long,
+        val onResult: (Continuation) -> Unit
+    )
+
+    private fun confirm(found: Continuation.At, search: Search) = confirmVersions { isConfirmed ->
+        val isCurrent = isConfirmed || haveMostReplied(found.origin.service, search.answer)
+        val result = if (isCurrent) {
+            bySingleVersion(search.services, search.answer)
+        } else {
+            Continuation.Unknown(
+                "neither the store nor most hosts tell the versions at present",
+                RETRY_AFTER_MS
+            )
+        }
+        when (result) {
+            is Continuation.At -> search.onResult(result)
+            is Continuation.Unknown -> searchStore(result, search)
+        }
+    }
+
+    /**
+     * Searches the store for a stream that is [unknown] to the hosts that replied. Those that know
+     * it may have been lost, or do not reply; without either, the store knows no more than they do.
+     */
+    private fun searchStore(unknown: Continuation.Unknown, search: Search) {
+        val id = search.id
+        val isAnySilent = search.answer.isIncomplete
+        // A host that does not reply may have written until now.
+        val sinceMs = if (isAnySilent) search.askedAtMs else exchange.lastLossAtMs
+        if (id == null || sinceMs == null) return onUnknown(unknown, search, null)
+        findInStore(id, sinceMs) { found ->
+            when (found) {
+                is Found.At -> search.onResult(at(found.origin, search.services))
+
+                is Found.Missing, is Found.Unavailable -> {
+                    val mayBeKnownSoon = isAnySilent || found is Found.Unavailable
+                    val retryAfterMs =
+                        unknown.retryAfterMs ?: RETRY_AFTER_MS.takeIf { mayBeKnownSoon }
+                    onUnknown(unknown.copy(retryAfterMs = retryAfterMs), search, found)
+                }
             }
         }
     }
 
+    private fun onUnknown(unknown: Continuation.Unknown, search: Search, stored: Found?) {
+        log.request(
+            "stream not found",
+            requestId = null,
+            "stream" to search.id?.value,
+            "asked" to search.answer.askedCount,
+            "replied" to search.answer.replies.size,
+            "lostHosts" to exchange.lostPeerCount,
+            "store" to stored?.toString()
+        )
+        search.onResult(unknown)
+    }
+
     /**
      * Whether this host and those that told the versions of [service] are most of all. Of a large
      * fleet some are asked, which stand for the others.
--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -101,6 +101,11 @@
         Counter.builder("bronzetide.edge.stream.store.writes")
             .tag("kind", kind).tag("result", result).register(registry).increment()
 
+    /** Counts a search for streams in the store: `LISTING`, `CHANGES` or `FAILED`. */
+    fun onStreamStoreRead(result: String) =
+        Counter.builder("bronzetide.edge.stream.store.reads")
+            .tag("result", result).register(registry).increment()
+
     /** Counts entries of [list] that were left out of a message of [kind] to a peer. */
     fun onPeerEntriesLeftOut(kind: String, list: String, count: Int) =
         Counter.builder("bronzetide.edge.peer.entries.left.out")
--- /dev/null
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StoredOriginsTest.kt
@@ -0,0 +1,148 @@
+package org.bronzetide.edge.streams
+
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import net.jqwik.api.Example
+import org.assertj.core.api.Assertions.assertThat
+import org.bronzetide.edge.state.StoreClientEnvironment
+import org.bronzetide.edge.streams.StoredOrigins.Found
+import org.bronzetide.platform.fleet.ObjectKinds
+import org.bronzetide.platform.fleet.StreamOriginsEntry
+import org.bronzetide.scheduling.fleet.SoftwareVersion
+import org.bronzetide.scheduling.streams.ServedVersions
+import org.bronzetide.scheduling.streams.StreamId
+import org.bronzetide.scheduling.streams.StreamOrigin
+
+/** Searches for the streams of lost hosts in the store, and what they cost it. */
+class StoredOriginsTest {
+    /** Guards against a listing of all hosts for each take-up after a loss of many hosts. */
+    @Example
+    fun takeUpsThatWaitShareOneListing() = test {
+        write("h1", "1", 1L..50L)
+        write("h2", "2", 51L..100L)
+        val calls = recordCalls()
+        val found = coroutineScope {
+            (1L..100L).map { id -> async { origins.find(StreamId(id), env.clock.nowMs()) } }
+                .awaitAll()
+        }
+        assertThat(found.take(50)).containsOnly(at("1"))
+        assertThat(found.drop(50)).containsOnly(at("2"))
+        assertThat(calls.size).isBetween(1, 2)
+    }
+
+    /** Guards against listings in place of changes when streams are searched for again. */
+    @Example
+    fun laterSearchesReadWhatWasWrittenSince() = test {
+        write("h1", "1", 1L..3L)
+        assertThat(find(9)).isEqualTo(Found.Missing)
+        val calls = recordCalls()
+        write("h2", "2", 9L..9L)
+        assertThat(find(9)).isEqualTo(at("2"))
+        assertThat(find(1)).isEqualTo(at("1"))
+        assertThat(calls).isEmpty()
+        env.standIn.compact()
+        write("h3", "2", 10L..10L)
+        assertThat(find(10)).isEqualTo(at("2"))
+    }
+
+    /** Guards against reads that cannot tell more than the one before. */
+    @Example
+    fun storeThatWasReadSinceTheLossIsNotReadAgain() = test {
+        val lostAtMs = env.clock.nowMs()
+        env.advance(1)
+        assertThat(origins.find(StreamId(1), lostAtMs)).isEqualTo(Found.Missing)
+        val callCount = env.standIn.callCount
+        repeat(10) { assertThat(origins.find(StreamId(1), lostAtMs)).isEqualTo(Found.Missing) }
+        assertThat(env.standIn.callCount).isEqualTo(callCount)
+    }
+
+    /** Guards against a stream that is called missing though the store was not read whole. */
+    @Example
+    fun storeThatIsAwayOrListsIncompletelyTellsNothingOfOtherStreams() = test {
+        env.standIn.isUnavailable = true
+        assertThat(find(1)).isEqualTo(Found.Unavailable)
+        env.standIn.isUnavailable = false
+        env.standIn.isUnresponsive = true
+        assertThat(find(1)).isEqualTo(Found.Unavailable)
+        env.standIn.isUnresponsive = false
+        write("h1", "1", 1L..1L)
+        write("h2", "1", 2L..2L)
+        env.standIn.pageSize = 1
+        env.standIn.repeatsPages = true
+        assertThat(find(1)).isEqualTo(at("1"))
+        assertThat(find(2)).isEqualTo(Found.Unavailable)
+        env.standIn.repeatsPages = false
+        assertThat(find(2)).isEqualTo(at("1"))
+    }
+
+    /** Guards against streams that are forgotten as the store has lost them in a restoration. */
+    @Example
+    fun streamsThatWereReadOutlastARestoration() = test {
+        write("h1", "1", 1L..1L)
+        env.standIn.takeSnapshot()
+        write("h2", "2", 2L..2L)
+        assertThat(find(2)).isEqualTo(at("2"))
+        env.standIn.restore()
+        write("h3", "2", 3L..3L)
+        assertThat(find(3)).isEqualTo(at("2"))
+        assertThat(find(2)).isEqualTo(at("2"))
+    }
+
+    /** Guards against memory that is held for streams that cannot be taken up any more. */
+    @Example
+    fun whatWasReadIsDroppedAfterAWindow() = test {
+        write("h1", "1", 1L..1L)
+        assertThat(find(1)).isEqualTo(at("1"))
+        env.standIn.isUnavailable = true
+        origins.expire()
+        assertThat(find(1)).isEqualTo(at("1"))
+        env.advance(ServedVersions.MAX_WINDOW_MS)
+        origins.expire()
+        assertThat(find(1)).isEqualTo(Found.Unavailable)
+    }
+
+    /** Guards against objects of other writers that stop the search. */
+    @Example
+    fun unusableObjectsAreIgnored() = test {
+        env.standIn.write(ObjectKinds.STREAM_ORIGINS, "foreign", """{"streams":[{"ids":7}]}""")
+        env.standIn.write(ObjectKinds.STREAM_ORIGINS, "h0", "[]")
+        write("h1", "1", 1L..1L)
+        assertThat(find(1)).isEqualTo(at("1"))
+    }
+
+    private class Subject(val env: StoreClientEnvironment) {
+        val origins = StoredOrigins(env.client(timeoutMs = 300), env.clock, env.log, env.metrics)
+
+        suspend fun find(id: Long): Found {
+            env.advance(StoredOrigins.MIN_INTERVAL_MS)
+            return origins.find(StreamId(id), env.clock.nowMs())
+        }
+
+        fun write(host: String, version: String, ids: LongRange) {
+            val group = StreamOriginsEntry.Group(SERVICE, version, ids.toList())
+            val body = StreamOriginsEntry(listOf(group)).encode().toString()
+            env.standIn.write(ObjectKinds.STREAM_ORIGINS, host, body)
+        }
+
+        /** The calls but watches from now on. */
+        fun recordCalls(): List<String> {
+            val calls = CopyOnWriteArrayList<String>()
+            env.standIn.intercept = { request, execute ->
+                calls += request.path
+                execute()
+            }
+            return calls
+        }
+
+        fun at(version: String) = Found.At(StreamOrigin(SERVICE, SoftwareVersion(version)))
+    }
+
+    private fun test(test: suspend Subject.() -> Unit) =
+        StoreClientEnvironment.test { Subject(this).test() }
+
+    private companion object {
+        const val SERVICE = "chat"
+    }
+}
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamControlTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamControlTest.kt
@@ -4,9 +4,13 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import net.jqwik.api.Example
 import org.assertj.core.api.Assertions.assertThat
 import org.bronzetide.coordination.ControlLoop
+import org.bronzetide.coordination.Member
+import org.bronzetide.coordination.MemberState
 import org.bronzetide.coordination.MonotonicClock
 import org.bronzetide.coordination.NodeId
 import org.bronzetide.edge.peer.LiveHosts
@@ -15,7 +19,12 @@
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
 import org.bronzetide.platform.fleet.CallerLimits
 import org.bronzetide.platform.fleet.Manifest
+import org.bronzetide.platform.fleet.ObjectKinds
+import org.bronzetide.platform.fleet.StreamOriginsEntry
 import org.bronzetide.scheduling.fleet.FleetTarget
+import org.bronzetide.scheduling.fleet.SoftwareVersion
+import org.bronzetide.scheduling.streams.StreamId
+import org.bronzetide.scheduling.streams.StreamOrigin
 
 /** Take-ups at a host that has just started and is still reading the store. */
 class StreamControlTest {
@@ -40,6 +49,37 @@
         }
     }
 
+    /** Guards against a stream that is refused though its host has stored it before it was lost. */
+    @Example
+    fun streamOfALostHostGoesOnByWhatItHasStored() = StoreClientEnvironment.test {
+        ControlLoop(clock).use { control ->
+            control.start()
+            val streams = start(control)
+            val reading = CoroutineScope(loop + Job())
+            streams.start(reading)
+            control.call {
+                val peer = Member(NodeId("edge-2~1"), "z1", "127.0.0.2", 1, 0, MemberState.ALIVE)
+                streams.exchange.updateMembers(listOf(peer))
+            }
+            advance(STARTED_MS)
+            reading.launch {
+                while (true) {
+                    delay(STEP_MS)
+                    advance(STEP_MS)
+                }
+            }
+            assertThat(streams.find("other", listOf(SERVICE)))
+                .isInstanceOf(Continuation.Unknown::class.java)
+            val id = StreamId.of("r1").value
+            val group = StreamOriginsEntry.Group(SERVICE, "2", listOf(id))
+            val body = StreamOriginsEntry(listOf(group)).encode().toString()
+            standIn.write(ObjectKinds.STREAM_ORIGINS, "edge-2", body)
+            assertThat(streams.find("r1", listOf(SERVICE)))
+                .isEqualTo(Continuation.At(StreamOrigin(SERVICE, SoftwareVersion("2"))))
+            reading.cancel()
+        }
+    }
+
     private suspend fun StoreClientEnvironment.start(control: ControlLoop): StreamControl {
         val self = NodeId.ofNewProcess("edge-1")
         val streams = StreamControl(
@@ -66,5 +106,9 @@
 
     private companion object {
         const val SERVICE = "chat"
+
+        /** Longer than a host counts as just started. */
+        const val STARTED_MS = 3_000L
+        const val STEP_MS = 10L
     }
 }
