Streams of the only version go on after a loss of most hosts

What callers saw: most hosts were killed at once while the targets had one version only, as they mostly have. At the host that was left, all streams that were taken up were refused until other hosts were back, though their targets served and new streams began.

A host refuses if none of the hosts that it asked has told the versions of the service, whatever the store tells.

The store is the evidence in place of the hosts: it has been read since the request, and has neither another version nor the stream. The latter tells of a version that has joined and left while this host was out of touch, as its streams are written as soon as a host knows of two. If the store cannot be read, the take-up is refused as before.

StreamsAcrossHostsTest.streamsOfTheOnlyVersionGoOnAfterALossOfMostHosts failed before: "none of 7 hosts told the versions of the service".

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -1,6 +1,7 @@
 package org.bronzetide.edge.streams
 
 import org.bronzetide.coordination.MonotonicClock
+import org.bronzetide.edge.peer.PeerMessage
 import org.bronzetide.edge.streams.StoredOrigins.Found
 import org.bronzetide.edge.streams.StreamOrigins.Continuation
 import org.bronzetide.edge.telemetry.DecisionLog
@@ -19,7 +20,8 @@
  * otherwise. This host's own view of the targets may be outdated: it may be cut off from the store
  * or have stood still, and a version may have joined a moment ago. So the rule also needs evidence
  * that is younger than the request, which one of two things is:
- * - the store has been read since, and has no other version;
+ * - the store has been read since, and has no other version, nor the stream itself if no other host
+ *   told of versions;
  * - most hosts have replied since, and none of them knows another version. A host that a version
  *   reaches tells others of it before it sends requests there, so that a version which serves
  *   without most hosts knowing it has joined at hosts that are cut off from the others. These
@@ -61,7 +63,13 @@
             if (origin != null) return@ask onResult(at(origin, services))
             val search = Search(id, services, answer, askedAtMs, onResult)
             when (val found = bySingleVersion(services, answer)) {
-                is Continuation.At -> confirm(found, search)
+                is Continuation.At ->
+                    if (hasNoneTold(found.origin.service, answer)) {
+                        decideWithoutHosts(found, search)
+                    } else {
+                        confirm(found, search)
+                    }
+
                 is Continuation.Unknown -> searchStore(found, search)
             }
         }
@@ -76,6 +84,34 @@
         val onResult: (Continuation) -> Unit
     )
 
+    /** Whether there are other hosts, and none of them told the versions of [service]. */
+    private fun hasNoneTold(service: String, answer: StreamQueries.Answer): Boolean =
+        (answer.askedCount > 0 || exchange.lostPeerCount > 0) &&
+            answer.replies.none { reply -> reply.tellsVersionsOf(service) }
+
+    private fun PeerMessage.StreamReply.tellsVersionsOf(service: String): Boolean =
+        services.any { it.service == service && it.versions.isNotEmpty() }
+
+    /**
+     * Decides on a stream of a service with one version while no other host tells of versions. The
+     * store names the stream if its host knew of a second version, also of one that has left again
+     * while this host was out of touch.
+     */
+    private fun decideWithoutHosts(found: Continuation.At, search: Search) {
+        val refusal = Continuation.Unknown(
+            "none of ${search.answer.askedCount} hosts told the versions of the service",
+            RETRY_AFTER_MS
+        )
+        val id = search.id ?: return onUnknown(refusal, search, null)
+        findInStore(id, search.askedAtMs) { stored ->
+            when (stored) {
+                is Found.At -> search.onResult(at(stored.origin, search.services))
+                is Found.Missing -> confirm(found, search)
+                is Found.Unavailable -> onUnknown(refusal, search, stored)
+            }
+        }
+    }
+
     private fun confirm(found: Continuation.At, search: Search) = confirmVersions { isConfirmed ->
         val isCurrent = isConfirmed || haveMostReplied(found.origin.service, search.answer)
         val result = if (isCurrent) {
@@ -137,9 +173,7 @@
         val liveCount = 1 + exchange.peerCount
         val allCount = liveCount + exchange.lostPeerCount
         if (allCount == 1) return !hasOtherHosts
-        val toldCount = 1 + answer.replies.count { reply ->
-            reply.services.any { it.service == service && it.versions.isNotEmpty() }
-        }
+        val toldCount = 1 + answer.replies.count { reply -> reply.tellsVersionsOf(service) }
         return 2 * toldCount > 1 + answer.askedCount && 2 * liveCount > allCount
     }
 
@@ -170,12 +204,6 @@
 
             served.isEmpty() -> unknown("the versions of the service are not known")
 
-            answer.askedCount > 0 && found.all { it.versions.isEmpty() } ->
-                Continuation.Unknown(
-                    "none of ${answer.askedCount} hosts told the versions of the service",
-                    RETRY_AFTER_MS
-                )
-
             !isSettled -> unknown("earlier versions of the service are not known")
 
             else -> Continuation.At(StreamOrigin(service, served.single()))
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsAcrossHostsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/StreamsAcrossHostsTest.kt
@@ -89,6 +89,31 @@
         }
     }
 
+    /** Guards against refusals of all streams after a loss of many hosts, without a release. */
+    @Example
+    fun streamsOfTheOnlyVersionGoOnAfterALossOfMostHosts() {
+        listOf(0L, 1_500L, DETECTION_MS).forEach { sinceMs ->
+            start(hostCount = 8, versions = listOf("1"))
+            network.areVersionsConfirmed = true
+            hosts[0].begin("r1", "1")
+            hosts.removeAll(hosts.take(7).toList())
+            network.run(sinceMs)
+            assertThat(hosts[0].find("r1")).isEqualTo(Continuation.At(origin("1")))
+            network.storedOrigins = { Found.Unavailable }
+            assertMayComeBack(hosts[0].find("r1"))
+        }
+    }
+
+    /** Guards against a version that joined and left again while the host was out of touch. */
+    @Example
+    fun streamOfAVersionThatHasLeftDoesNotGoOnAtTheOnlyOneKnown() {
+        start(hostCount = 8, versions = listOf("1"))
+        network.areVersionsConfirmed = true
+        network.storedOrigins = { Found.At(origin("2")) }
+        hosts.removeAll(hosts.take(7).toList())
+        assertThat(hosts[0].find("r1")).isEqualTo(Continuation.At(origin("2")))
+    }
+
     /** Guards against a caller that is told to begin anew while the store may know its stream. */
     @Example
     fun streamOfLostHostsMayBeTakenUpLaterWhileTheStoreIsAway() {
