Callers are accepted once quotas have accrued for a moment

What callers saw: the first request after a start got 429 though its account was far below its quota, if it came in the same millisecond.

Cause: quotas begin empty, as what other hosts have granted is not known, and callers were accepted right after.

Quotas now begin before the step that follows, and callers are accepted 20 ms later.

--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -353,11 +353,13 @@
         binder.bind("control", operatorAcceptor.address) { operatorAcceptor.start(scope) }
         binder.bind("readiness", readinessAcceptor.address) { readinessAcceptor.start(scope) }
         binder.bind("peers", peers.address, peers::start)
-        control.post { fleet.start() }
+        control.call { fleet.start() }
         scope.launch { bootstrapFromPeers() }
         streams.start(scope)
         rollouts?.let { scope.launch { it.driver.run() } }
         binder.bind("relay", relayAcceptor.address) { relayAcceptor.start(scope) }
+        // Quotas begin empty, so that a request at once would be refused as over quota.
+        delay(FIRST_QUOTA_MS)
         binder.bind("callers", callerAcceptor.address) { callerAcceptor.start(scope) }
         isListening = true
     }
@@ -552,6 +554,9 @@
         const val PEER_FALLBACK_DELAY_MS = 400L
         const val MAX_PEERS_ASKED = 3
 
+        /** An account of 100,000 units a second accrues some hundred meanwhile, a request. */
+        const val FIRST_QUOTA_MS = 20L
+
         /** Loads what a request needs; callers that are waiting complete the warm-up. */
         const val WARM_UP_REQUESTS = 10
         const val WARM_UP_LIMIT_MS = 1_500L
