--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamResolver.kt
@@ -16,10 +16,10 @@
  * last, or what hosts that were lost or do not reply have written to the store.
  *
  * The rule on a single version needs that this host or one that has replied knows all versions
- * within the window. It holds for requests that lead to exactly one service, as the service of the stream is unknown
- * otherwise. This host's own view of the targets may be outdated: it may be cut off from the store
- * or have stood still, and a version may have joined a moment ago. So the rule also needs evidence
- * that is younger than the request, which one of two things is:
+ * within the window. It holds for requests that lead to exactly one service, as the service of the
+ * stream is unknown otherwise. This host's own view of the targets may be outdated: it may be cut
+ * off from the store or have stood still, and a version may have joined a moment ago. So the rule
+ * also needs evidence that is younger than the request, which one of two things is:
  * - the store has been read since, and has no other version, nor the stream itself if no other host
  *   told of versions;
  * - most hosts have replied since, and none of them knows another version. A host that a version
