--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/telemetry/EdgeMetrics.kt
@@ -102,9 +102,8 @@
             .tag("kind", kind).tag("result", result).register(registry).increment()
 
     /** Counts a search for streams in the store: `LISTING`, `CHANGES` or `FAILED`. */
-    fun onStreamStoreRead(result: String) =
-        Counter.builder("bronzetide.edge.stream.store.reads")
-            .tag("result", result).register(registry).increment()
+    fun onStreamStoreRead(result: String) = Counter.builder("bronzetide.edge.stream.store.reads")
+        .tag("result", result).register(registry).increment()
 
     /** Counts entries of [list] that were left out of a message of [kind] to a peer. */
     fun onPeerEntriesLeftOut(kind: String, list: String, count: Int) =
--- a/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
+++ b/bronzetide-edge/src/test/kotlin/org/bronzetide/edge/streams/FleetStreamOriginsTest.kt
@@ -86,18 +86,17 @@
         assertThat(found).isInstanceOf(Continuation.Unknown::class.java)
     }
 
-    private fun resolver(versions: ServedVersions, exchange: StreamExchange) =
-        StreamResolver(
-            clock,
-            versions,
-            exchange,
-            DecisionLog(clock, omitsRequests = true),
-            { false },
-            { false },
-            true,
-            { it(false) },
-            { _, _, onResult -> onResult(StoredOrigins.Found.Unavailable) }
-        )
+    private fun resolver(versions: ServedVersions, exchange: StreamExchange) = StreamResolver(
+        clock,
+        versions,
+        exchange,
+        DecisionLog(clock, omitsRequests = true),
+        { false },
+        { false },
+        true,
+        { it(false) },
+        { _, _, onResult -> onResult(StoredOrigins.Found.Unavailable) }
+    )
 
     private companion object {
         const val LIMIT_MS = 5_000L
