--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/EdgeNode.kt
@@ -554,7 +554,7 @@
         const val PEER_FALLBACK_DELAY_MS = 400L
         const val MAX_PEERS_ASKED = 3
 
-        /** An account of 100,000 units a second accrues some hundred meanwhile, a request. */
+        /** In which accounts accrue their first units; short beside the rest of a start. */
         const val FIRST_QUOTA_MS = 20L
 
         /** Loads what a request needs; callers that are waiting complete the warm-up. */
