--- a/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
+++ b/bronzetide-edge/src/main/kotlin/org/bronzetide/edge/streams/StreamSnapshots.kt
@@ -32,8 +32,9 @@
  * [SnapshotBudget.intervalMs] and the time of a call. Streams that do not fit, the oldest first,
  * are lost as well.
  *
- * A host reads the objects of all hosts once, at its start. An origin never changes, so objects of
- * an earlier era, or of hosts that are gone, do no harm.
+ * A host reads the objects of all hosts once, at its start; [StoredOrigins] searches them for the
+ * streams of hosts that are lost later. An origin never changes, so objects of an earlier era, or
+ * of hosts that are gone, do no harm.
  *
  * The state is confined to the control thread.
  */
